--- /dev/null
+++ b/sniperetry/sniperetry_test.go
@@ -0,0 +1,133 @@
+package sniperetry_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/snipemoor/snipemoor/sniperetry"
+	"github.com/snipemoor/snipemoor/snipetime"
+)
+
+const second = snipetime.Instant(time.Second)
+
+func ExamplePolicy() {
+	p := sniperetry.NewPolicy(sniperetry.Settings{}, rand.New(rand.NewPCG(1, 2)), 0)
+	d := p.Decide(second, sniperetry.Event{
+		Class:    sniperetry.Once,
+		Failure:  sniperetry.ConnectionLost,
+		Attempts: 1,
+		Deadline: 3 * second,
+	})
+	fmt.Println(d.Action == sniperetry.GiveUp, d.Reason, d.Outcome)
+	// Output: true connectionLost unknown
+}
+
+// Guards against a retry storm: with every target failing, attempts must stay
+// under 1.2 times the requests received, at low and at high rates.
+func TestAllTargetsFail(t *testing.T) {
+	for _, perSecond := range []int{20, 200, 2000} {
+		p := sniperetry.NewPolicy(sniperetry.Settings{}, rand.New(rand.NewPCG(7, 7)), 0)
+		requests, attempts := 0, 0
+		for i := range 20 * perSecond {
+			now := snipetime.Instant(i) * second / snipetime.Instant(perSecond)
+			requests++
+			attempts++
+			p.FirstAttempt(now)
+			e := sniperetry.Event{Class: sniperetry.Safe, Failure: sniperetry.DialFailed, Attempts: 1, Deadline: now + 10*second}
+			for p.Decide(now, e).Action == sniperetry.Retry {
+				attempts++
+				e.Attempts++
+			}
+		}
+		if float64(attempts) >= 1.2*float64(requests) {
+			t.Errorf("%d/s: %d attempts for %d requests", perSecond, attempts, requests)
+		}
+		if attempts == requests {
+			t.Errorf("%d/s: no retry at all", perSecond)
+		}
+	}
+}
+
+// Guards against a second run of a once request, a false not-run, a retry past
+// the deadline and a hedge of a request that is not safe.
+func TestDecideProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := sniperetry.NewPolicy(sniperetry.Settings{}, rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)), 0)
+		for range 100 {
+			p.FirstAttempt(0)
+			p.Observe(0, time.Millisecond)
+		}
+		e := sniperetry.Event{
+			Class:      rapid.SampledFrom([]sniperetry.Class{sniperetry.Safe, sniperetry.Idempotent, sniperetry.Once, ""}).Draw(t, "class"),
+			Failure:    sniperetry.Failure(rapid.IntRange(0, int(sniperetry.CallerGone)).Draw(t, "failure")),
+			Attempts:   rapid.IntRange(1, 5).Draw(t, "attempts"),
+			Began:      rapid.Bool().Draw(t, "began"),
+			Elapsed:    time.Duration(rapid.Int64Range(0, int64(time.Second)).Draw(t, "elapsed")),
+			Deadline:   snipetime.Instant(rapid.Int64Range(0, int64(2*time.Second)).Draw(t, "deadline")),
+			RetryAfter: time.Duration(rapid.Int64Range(0, int64(time.Second)).Draw(t, "after")),
+		}
+		now := snipetime.Instant(rapid.Int64Range(0, int64(time.Second)).Draw(t, "now"))
+		d := p.Decide(now, e)
+		may := e.Failure.Begun() || e.Began
+		retryable := e.Class == sniperetry.Safe || e.Class == sniperetry.Idempotent
+		if d.Action == sniperetry.Retry && !now.Add(d.Delay).Before(e.Deadline) {
+			t.Fatalf("retry past the deadline: %+v", d)
+		}
+		if d.Action == sniperetry.Retry && !retryable && may {
+			t.Fatalf("retry of a request that may have begun: %+v", d)
+		}
+		if d.Action == sniperetry.Hedge && (e.Class != sniperetry.Safe || !now.Before(e.Deadline)) {
+			t.Fatalf("hedge of class %q", e.Class)
+		}
+		if d.Outcome == sniperetry.NotRun && may {
+			t.Fatalf("not-run for a request that may have begun: %+v", d)
+		}
+	})
+}
+
+// Guards against a budget that is larger than its ratio allows, and against a
+// hedge before the 95th percentile.
+func TestBudgetAndHedge(t *testing.T) {
+	b := sniperetry.NewBudget(sniperetry.BudgetSettings{MinimumPerSecond: 0.001}, 0)
+	spent := 0
+	for range 1000 {
+		b.FirstAttempt(0)
+		if b.Spend(0) {
+			spent++
+		}
+	}
+	if spent > 100 || spent < 95 {
+		t.Errorf("%d tokens spent of 1000 first attempts at 10 %%", spent)
+	}
+	p := sniperetry.NewPolicy(sniperetry.Settings{}, rand.New(rand.NewPCG(1, 1)), 0)
+	for i := range 200 {
+		p.FirstAttempt(0)
+		p.Observe(0, time.Duration(i+1)*time.Millisecond)
+	}
+	delay, ok := p.HedgeDelay(sniperetry.Safe)
+	if !ok || delay < 170*time.Millisecond || delay > 200*time.Millisecond {
+		t.Fatalf("hedge delay %v, want about 190ms", delay)
+	}
+	e := sniperetry.Event{Class: sniperetry.Safe, Attempts: 1, Deadline: second, Elapsed: delay - 1}
+	if d := p.Decide(0, e); d.Action != sniperetry.Wait || d.Delay != 1 {
+		t.Errorf("before the delay: %+v", d)
+	}
+	e.Elapsed = delay
+	if d := p.Decide(0, e); d.Action != sniperetry.Hedge {
+		t.Errorf("after the delay: %+v", d)
+	}
+}
+
+func BenchmarkDecide(b *testing.B) {
+	p := sniperetry.NewPolicy(sniperetry.Settings{}, rand.New(rand.NewPCG(1, 1)), 0)
+	e := sniperetry.Event{Class: sniperetry.Safe, Failure: sniperetry.DialFailed, Attempts: 1, Deadline: 1 << 62}
+	b.ReportAllocs()
+	for b.Loop() {
+		p.FirstAttempt(0)
+		p.Decide(0, e)
+	}
+}
