--- /dev/null
+++ b/sniperoute/sniperoute_test.go
@@ -0,0 +1,84 @@
+package sniperoute_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/snipemoor/snipemoor/sniperoute"
+	"github.com/snipemoor/snipemoor/snipetime"
+)
+
+func seeded(n uint64) *rand.Rand { return rand.New(rand.NewPCG(n, 1)) }
+
+func flat(string, string) time.Duration { return time.Millisecond }
+
+func ExamplePlanner() {
+	p := sniperoute.NewPlanner(sniperoute.PlannerSettings{}, "thrissur", seeded(1))
+	err := p.SetPlaces([]sniperoute.Place{
+		{Name: "tcr-ollur", FailureDomain: "tcr-ollur", Region: "thrissur", Instances: 2},
+		{Name: "tcr-kunnam", FailureDomain: "tcr-kunnam", Region: "thrissur", Instances: 2},
+		{Name: "ekm-aluva", FailureDomain: "ekm-aluva", Region: "ernakulam", Instances: 2},
+	}, flat)
+	if err != nil {
+		fmt.Println(err)
+	}
+	for _, c := range p.Plan("tcr-ollur", make([]sniperoute.PlaceCandidate, 0, 4)) {
+		fmt.Println(c.Place, c.NeedsShift, c.NeedsLink)
+	}
+	// Output:
+	// tcr-ollur false false
+	// tcr-kunnam true false
+	// ekm-aluva true true
+}
+
+// Guards against ejection of more than half of the targets, by which a failing
+// service would push all load onto one target.
+func TestEjectionFloor(t *testing.T) {
+	for n := 1; n <= 16; n++ {
+		c := sniperoute.NewChooser(sniperoute.ChooserSettings{}, seeded(1))
+		free := make([]sniperoute.Candidate, n)
+		addresses := make([]string, n)
+		for i := range free {
+			addresses[i] = fmt.Sprint("t", i)
+			free[i] = sniperoute.Candidate{Address: addresses[i], Slots: 3}
+		}
+		c.SetTargets(0, addresses, nil)
+		for range 10 {
+			for _, a := range addresses {
+				c.Observe(0, a, sniperoute.Failed, 0)
+				c.Probe(0, a, sniperoute.Probe{Healthy: false})
+			}
+		}
+		if got := c.Ejected(); got != n/2 {
+			t.Errorf("%d of %d targets ejected, want %d", got, n, n/2)
+		}
+		if c.Choose(0, free) < 0 {
+			t.Errorf("no choice among %d targets", n)
+		}
+	}
+}
+
+// Guards against a cold target that receives its full load at once, against one
+// that never does, and against a draining target that is chosen.
+func TestSlowStartAndDrain(t *testing.T) {
+	c := sniperoute.NewChooser(sniperoute.ChooserSettings{}, seeded(2))
+	c.SetTargets(0, []string{"a", "b"}, nil)
+	c.SetTargets(0, []string{"a", "b"}, func(a string) bool { return a == "b" })
+	free := []sniperoute.Candidate{{Address: "b", Slots: 4}}
+	if c.Choose(0, free) != -1 {
+		t.Error("a draining target was chosen")
+	}
+	c.SetTargets(0, []string{"a", "b"}, nil)
+	for _, step := range []struct {
+		after time.Duration
+		used  int
+		want  int
+	}{{0, 0, 0}, {0, 1, -1}, {5 * time.Second, 1, 0}, {5 * time.Second, 3, -1}, {10 * time.Second, 3, 0}} {
+		free[0].Used = step.used
+		if got := c.Choose(snipetime.Instant(step.after), free); got != step.want {
+			t.Errorf("after %v with %d used: choice %d, want %d", step.after, step.used, got, step.want)
+		}
+	}
+}
