--- /dev/null
+++ b/snipeslot/doc.go
@@ -0,0 +1,19 @@
+// Package snipeslot grants the slots of targets.
+//
+// The targets of a team and service in a place form slot groups. One Owner per
+// group grants all of its slots; requests that find none free wait in deadline
+// order. A grant has a time to live, which the grantee's Holder renews. After a
+// change of owner the new Owner grants nothing until every member of the region
+// has reported its running attempts, or until every grant that was not reported
+// must have ended.
+//
+// The attempts that run at a target never exceed its slots, whatever messages
+// are lost, late or repeated, as long as (1) at most one Owner of a group has a
+// lease at any time and its epoch is higher than those before, (2) the members
+// passed to SetMembers include every instance that may hold a grant of the
+// former owner, (3) each attempt that Holder.Tick names is cancelled at once,
+// and (4) clock rates differ by less than the drift margin.
+//
+// The package performs no I/O and reads no clock; its types are not safe for
+// concurrent use.
+package snipeslot
--- /dev/null
+++ b/snipeslot/holder.go
@@ -0,0 +1,262 @@
+package snipeslot
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/snipemoor/snipemoor/snipetime"
+)
+
+// Verdict says what the grantee does with a reply.
+type Verdict int
+
+// Verdicts.
+const (
+	// Ignore means that the reply changes nothing.
+	Ignore Verdict = iota
+	// Start means that the attempt runs now.
+	Start
+	// Refuse means that the request was refused for the reply's reason.
+	Refuse
+	// Enqueued means that another reply will follow.
+	Enqueued
+	// Return means that the grant cannot be used and the release is to be sent.
+	Return
+)
+
+type held struct {
+	group string
+	Running
+	until snipetime.Instant
+}
+
+type pending struct {
+	group  string
+	epoch  uint64
+	sent   snipetime.Instant
+	giveUp snipetime.Instant
+}
+
+type heldGroup struct {
+	epoch    uint64
+	sequence uint64
+	reported bool // the owner has accepted a list in this epoch
+}
+
+// Holder tracks the attempts of this instance.
+type Holder struct {
+	self       Member
+	timeToLive time.Duration
+	groups     map[string]*heldGroup
+	pending    map[string]*pending
+	running    map[string]*held
+}
+
+// NewHolder returns a holder without attempts. timeToLive is that of the
+// owners; 0 means the default.
+func NewHolder(self Member, timeToLive time.Duration) *Holder {
+	return &Holder{
+		self:       self,
+		timeToLive: cmp.Or(timeToLive, DefaultTimeToLive),
+		groups:     map[string]*heldGroup{},
+		pending:    map[string]*pending{},
+		running:    map[string]*held{},
+	}
+}
+
+// replyGrace is the time for a reply to arrive after the longest wait.
+const replyGrace = 500 * time.Millisecond
+
+// Begin registers a request and returns the message to send at once. a.From is
+// set. It reports false if no owner is known or the attempt exists already.
+func (h *Holder) Begin(now snipetime.Instant, a Acquire) (Acquire, bool) {
+	g := h.groups[a.Group]
+	if g == nil || h.pending[a.AttemptID] != nil || h.running[a.AttemptID] != nil {
+		return a, false
+	}
+	a.From = h.self
+	wait := min(a.Budget, a.MaximumWait) + replyGrace
+	h.pending[a.AttemptID] = &pending{group: a.Group, epoch: g.epoch, sent: now, giveUp: now.Add(wait)}
+	return a, true
+}
+
+// Answer takes a reply. With Start the attempt may be sent to the target, and
+// Finish must follow. With Return the release is to be sent to the owner.
+func (h *Holder) Answer(now snipetime.Instant, r Reply) (Verdict, Release) {
+	p := h.pending[r.AttemptID]
+	switch r.State {
+	case Queued:
+		if p == nil {
+			return Ignore, Release{}
+		}
+		return Enqueued, Release{}
+	case Refused:
+		if p == nil {
+			return Ignore, Release{}
+		}
+		delete(h.pending, r.AttemptID)
+		return Refuse, Release{}
+	}
+	if run := h.running[r.AttemptID]; run != nil && run.GrantID == r.GrantID {
+		return Ignore, Release{}
+	}
+	release := Release{
+		Group: r.Group, AttemptID: r.AttemptID, From: h.self,
+		GrantID: r.GrantID, Target: r.Target, Outcome: OutcomeCancelled,
+	}
+	// A grant of an earlier epoch is unknown to the present owner, which has
+	// this member's report already.
+	if p == nil || uint32(r.GrantID>>32) != uint32(p.epoch) {
+		return Return, release
+	}
+	delete(h.pending, r.AttemptID)
+	until := p.sent.Add(r.TimeToLive)
+	if !now.Before(until) {
+		return Return, release
+	}
+	h.running[r.AttemptID] = &held{
+		group:   p.group,
+		Running: Running{AttemptID: r.AttemptID, GrantID: r.GrantID, Target: r.Target},
+		until:   until,
+	}
+	return Start, Release{}
+}
+
+// Finish ends a running attempt and returns the release to send. It reports
+// false if the attempt is not running.
+func (h *Holder) Finish(attemptID string, outcome Outcome, latency time.Duration) (Release, bool) {
+	run := h.running[attemptID]
+	if run == nil {
+		return Release{}, false
+	}
+	delete(h.running, attemptID)
+	return Release{
+		Group: run.group, AttemptID: attemptID, From: h.self,
+		GrantID: run.GrantID, Target: run.Target, Latency: latency, Outcome: outcome,
+	}, true
+}
+
+// Abandon gives up a request that has no reply yet and returns the message to
+// send. It reports false if the request is not waiting.
+func (h *Holder) Abandon(attemptID string) (Cancel, bool) {
+	p := h.pending[attemptID]
+	if p == nil {
+		return Cancel{}, false
+	}
+	delete(h.pending, attemptID)
+	return Cancel{Group: p.group, AttemptID: attemptID, From: h.self}, true
+}
+
+// OwnerChanged states the epoch of a group's owner. If it is higher than the
+// known one, requests to the former owner are abandoned and returned, and the
+// next Renewals reports to the new owner. It must be called for every group of
+// the region, also for those without attempts here.
+func (h *Holder) OwnerChanged(group string, epoch uint64) (abandoned []string) {
+	g := h.groups[group]
+	if g == nil {
+		g = &heldGroup{}
+		h.groups[group] = g
+	}
+	if epoch <= g.epoch {
+		return nil
+	}
+	g.epoch, g.reported = epoch, false
+	for id, p := range h.pending {
+		if p.group == group {
+			abandoned = append(abandoned, id)
+			delete(h.pending, id)
+		}
+	}
+	slices.Sort(abandoned)
+	return abandoned
+}
+
+// Renewals returns the lists to send now, one for each group that has attempts
+// or whose owner has not accepted a report yet. The caller keeps each list and
+// the instant for Renewed.
+func (h *Holder) Renewals() []Renew {
+	byGroup := map[string][]Running{}
+	for _, run := range h.running {
+		byGroup[run.group] = append(byGroup[run.group], run.Running)
+	}
+	var lists []Renew
+	for _, name := range slices.Sorted(maps.Keys(h.groups)) {
+		g := h.groups[name]
+		attempts := byGroup[name]
+		if g.reported && len(attempts) == 0 {
+			continue
+		}
+		slices.SortFunc(attempts, func(a, b Running) int { return cmp.Compare(a.AttemptID, b.AttemptID) })
+		g.sequence++
+		lists = append(lists, Renew{Group: name, From: h.self, Epoch: g.epoch, Sequence: g.sequence, Attempts: attempts})
+	}
+	return lists
+}
+
+// Renewed takes the reply to a list that was sent at the given instant, and
+// returns attempts that must be cancelled because the owner has no grant for
+// them. The caller ends each with Finish.
+func (h *Holder) Renewed(sent snipetime.Instant, list Renew, reply RenewReply) (cancel []string) {
+	g := h.groups[list.Group]
+	if g == nil || !reply.Accepted || reply.Epoch != g.epoch || reply.Sequence != list.Sequence {
+		return nil
+	}
+	g.reported = true
+	until := sent.Add(h.timeToLive - driftMargin(h.timeToLive))
+	for _, a := range list.Attempts {
+		run := h.running[a.AttemptID]
+		if run == nil || run.GrantID != a.GrantID {
+			continue
+		}
+		if slices.Contains(reply.Unknown, a.AttemptID) {
+			cancel = append(cancel, a.AttemptID)
+			continue
+		}
+		run.until = max(run.until, until)
+	}
+	return cancel
+}
+
+// HolderTick holds what has become due.
+type HolderTick struct {
+	// Cancel holds running attempts whose grant could not be renewed. They must
+	// be cancelled at once and ended with Finish.
+	Cancel []string
+	// Lost holds messages for requests whose reply is overdue. The requests
+	// have been given up.
+	Lost []Cancel
+}
+
+// Tick returns what has become due. It is to be called at least every 50 ms and
+// by the instant that NextExpiry returns.
+func (h *Holder) Tick(now snipetime.Instant) HolderTick {
+	var t HolderTick
+	for _, id := range slices.Sorted(maps.Keys(h.running)) {
+		if !now.Before(h.running[id].until) {
+			t.Cancel = append(t.Cancel, id)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(h.pending)) {
+		if !now.Before(h.pending[id].giveUp) {
+			c, _ := h.Abandon(id)
+			t.Lost = append(t.Lost, c)
+		}
+	}
+	return t
+}
+
+// NextExpiry returns the earliest end of a running grant. It reports false if
+// nothing runs.
+func (h *Holder) NextExpiry() (at snipetime.Instant, ok bool) {
+	for _, run := range h.running {
+		if !ok || run.until.Before(at) {
+			at, ok = run.until, true
+		}
+	}
+	return at, ok
+}
+
+// Running returns the number of running attempts.
+func (h *Holder) Running() int { return len(h.running) }
