--- /dev/null
+++ b/snipelookup/blocks_test.go
@@ -0,0 +1,140 @@
+package snipelookup_test
+
+import (
+	"encoding/binary"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/snipemoor/snipemoor/snipelookup"
+)
+
+type block struct {
+	prefix netip.Prefix
+	place  uint16
+}
+
+func build(t interface{ Fatal(...any) }, blocks []block) *snipelookup.BlockTable {
+	table, err := snipelookup.Build(func(yield func(netip.Prefix, uint16) bool) {
+		for _, b := range blocks {
+			if !yield(b.prefix, b.place) {
+				return
+			}
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return table
+}
+
+// longest is the slow reference: a scan of all blocks.
+func longest(blocks []block, a netip.Addr) (place uint16, ok bool) {
+	best := -1
+	for _, b := range blocks {
+		if b.prefix.Contains(a) && b.prefix.Bits() >= best {
+			best, place, ok = b.prefix.Bits(), b.place, true
+		}
+	}
+	return place, ok
+}
+
+// drawAddr draws addresses from few distinct octets, so that blocks nest,
+// touch and repeat.
+func drawAddr(t *rapid.T, label string) netip.Addr {
+	octet := rapid.SampledFrom([]byte{0, 1, 127, 128, 254, 255})
+	if rapid.Bool().Draw(t, label+" IPv4") {
+		return netip.AddrFrom4([4]byte(rapid.SliceOfN(octet, 4, 4).Draw(t, label)))
+	}
+	var a [16]byte
+	for _, i := range []int{0, 3, 4, 7, 8, 15} {
+		a[i] = octet.Draw(t, label)
+	}
+	return netip.AddrFrom16(a)
+}
+
+// Guards against a wrong home place at the edges of nested, adjacent, repeated
+// and whole-space blocks.
+func TestLookupMatchesScan(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var blocks []block
+		probes := []netip.Addr{drawAddr(t, "probe")}
+		for range rapid.IntRange(0, 24).Draw(t, "blocks") {
+			a := drawAddr(t, "block")
+			p := netip.PrefixFrom(a, rapid.IntRange(0, a.BitLen()).Draw(t, "bits")).Masked()
+			blocks = append(blocks, block{p, uint16(rapid.IntRange(0, 4).Draw(t, "place"))})
+			probes = append(probes, p.Addr(), p.Addr().Prev(), lastOf(p), lastOf(p).Next())
+		}
+		table := build(t, blocks)
+		for _, a := range probes {
+			if !a.IsValid() {
+				continue
+			}
+			place, ok := table.Lookup(a)
+			wantPlace, want := longest(blocks, a)
+			if ok != want || ok && place != wantPlace {
+				t.Fatalf("%v: got %d %v, want %d %v", a, place, ok, wantPlace, want)
+			}
+		}
+	})
+}
+
+func lastOf(p netip.Prefix) netip.Addr {
+	b := p.Addr().AsSlice()
+	for i := p.Bits(); i < 8*len(b); i++ {
+		b[i/8] |= 0x80 >> (i % 8)
+	}
+	a, _ := netip.AddrFromSlice(b)
+	return a
+}
+
+// fullSize returns 3.4 million separate blocks, three quarters IPv4 /28 with
+// gaps between them and the rest IPv6 /56 under random /32.
+func fullSize(n int) []block {
+	r := rand.New(rand.NewPCG(1, 2))
+	blocks := make([]block, 0, n)
+	for i := range n {
+		place := uint16(r.IntN(140))
+		if i%4 != 3 {
+			var a [4]byte
+			binary.BigEndian.PutUint32(a[:], uint32(i)<<10|uint32(r.IntN(32))<<4)
+			blocks = append(blocks, block{netip.PrefixFrom(netip.AddrFrom4(a), 28), place})
+			continue
+		}
+		var a [16]byte
+		binary.BigEndian.PutUint64(a[:], 0x2000_0000_0000_0000|uint64(r.IntN(40_000))<<32|uint64(r.IntN(1<<24))<<8)
+		blocks = append(blocks, block{netip.PrefixFrom(netip.AddrFrom16(a), 56), place})
+	}
+	return blocks
+}
+
+// Guards against a table that outgrows the memory of a node.
+func TestTableMemory(t *testing.T) {
+	if testing.Short() {
+		t.Skip("builds 3.4 million blocks")
+	}
+	const limit, blocks = 40_000_000, 3_400_000
+	table := build(t, fullSize(blocks))
+	t.Logf("%d blocks in %d bytes: %.2f bytes per block", blocks, table.Bytes(), float64(table.Bytes())/blocks)
+	if table.Bytes() > limit {
+		t.Errorf("table has %d bytes, limit %d", table.Bytes(), limit)
+	}
+}
+
+func BenchmarkBlockTableLookup(b *testing.B) {
+	for _, n := range []int{34_000, 3_400_000} {
+		b.Run(sizeName(n), func(b *testing.B) {
+			blocks := fullSize(n)
+			table := build(b, blocks)
+			i := 0
+			b.ReportAllocs()
+			for b.Loop() {
+				i = (i + 7919) % n
+				table.Lookup(blocks[i].prefix.Addr())
+			}
+			b.ReportMetric(float64(table.Bytes())/float64(n), "bytes/block")
+		})
+	}
+}
--- /dev/null
+++ b/snipeonce/id.go
@@ -0,0 +1,178 @@
+package snipeonce
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/snipemoor/snipemoor/snipetime"
+)
+
+const (
+	maxIncarnationLength = 64
+	maxIDLength          = 192
+)
+
+// ErrBadID is wrapped by all errors of ParseRequestID and ParseAttemptID.
+var ErrBadID = errors.New("malformed identifier")
+
+// RequestID identifies one request of a caller. It is comparable.
+type RequestID struct {
+	// Incarnation names the issuer, the only process that may start the request.
+	Incarnation string
+	// Minter is the incarnation that made the prefix.
+	Minter string
+	// N counts the prefixes of the minter.
+	N uint64
+	// IssuedAt is an instant of the issuer, not later than the issue of the
+	// prefix, in milliseconds.
+	IssuedAt uint64
+	// Counter is chosen by the caller and distinguishes requests of one prefix.
+	Counter uint64
+}
+
+// Prefix returns the part of the identifier that a look-up returns.
+func (id RequestID) Prefix() string {
+	return id.Incarnation + "-" + id.Minter + "-" + strconv.FormatUint(id.N, 10) +
+		"-" + strconv.FormatUint(id.IssuedAt, 10)
+}
+
+// String returns the canonical text of the identifier.
+func (id RequestID) String() string {
+	return id.Prefix() + "." + strconv.FormatUint(id.Counter, 10)
+}
+
+// issued returns the issue time as an instant of the issuer.
+func (id RequestID) issued() snipetime.Instant {
+	return snipetime.Instant(0).Add(time.Duration(id.IssuedAt) * time.Millisecond)
+}
+
+// ParseRequestID parses the canonical text of an identifier and rejects any
+// other spelling, so that two spellings cannot denote one request.
+func ParseRequestID(s string) (RequestID, error) {
+	if len(s) > maxIDLength {
+		return RequestID{}, fmt.Errorf("request identifier of %d bytes: %w", len(s), ErrBadID)
+	}
+	prefix, counter, ok := strings.Cut(s, ".")
+	if !ok {
+		return RequestID{}, fmt.Errorf("request identifier without counter: %w", ErrBadID)
+	}
+	parts := strings.Split(prefix, "-")
+	if len(parts) != 4 {
+		return RequestID{}, fmt.Errorf("request identifier prefix of %d parts: %w", len(parts), ErrBadID)
+	}
+	id := RequestID{Incarnation: parts[0], Minter: parts[1]}
+	if !ValidIncarnation(id.Incarnation) || !ValidIncarnation(id.Minter) {
+		return RequestID{}, fmt.Errorf("request identifier incarnation: %w", ErrBadID)
+	}
+	var err error
+	if id.N, err = parseNumber(parts[2]); err != nil {
+		return RequestID{}, err
+	}
+	if id.IssuedAt, err = parseNumber(parts[3]); err != nil {
+		return RequestID{}, err
+	}
+	if id.Counter, err = parseNumber(counter); err != nil {
+		return RequestID{}, err
+	}
+	if id.IssuedAt > maxMillis {
+		return RequestID{}, fmt.Errorf("issue time %d: %w", id.IssuedAt, ErrBadID)
+	}
+	return id, nil
+}
+
+// maxMillis is the largest issue time that fits an Instant with room for the
+// retention that is added to it.
+const maxMillis = uint64(1) << 42
+
+// ValidIncarnation reports whether s consists of 1 to 64 ASCII letters and
+// digits.
+func ValidIncarnation(s string) bool {
+	if s == "" || len(s) > maxIncarnationLength {
+		return false
+	}
+	for _, c := range []byte(s) {
+		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
+		digit := c >= '0' && c <= '9'
+		if !letter && !digit {
+			return false
+		}
+	}
+	return true
+}
+
+// parseNumber accepts decimal digits without sign or leading zero.
+func parseNumber(s string) (uint64, error) {
+	n, err := strconv.ParseUint(s, 10, 64)
+	if err != nil || strconv.FormatUint(n, 10) != s {
+		return 0, fmt.Errorf("number %q: %w", s, ErrBadID)
+	}
+	return n, nil
+}
+
+// AttemptID identifies one relayed attempt. The sender numbers its attempts to
+// one receiver with rising N, so that the receiver can forget old attempts
+// without ever admitting one twice.
+type AttemptID struct {
+	// Sender is the incarnation of the sender.
+	Sender string
+	// N counts the attempts of the sender.
+	N uint64
+}
+
+// String returns the canonical text of the identifier.
+func (id AttemptID) String() string { return id.Sender + "-" + strconv.FormatUint(id.N, 10) }
+
+// ParseAttemptID parses the canonical text of an attempt identifier.
+func ParseAttemptID(s string) (AttemptID, error) {
+	sender, number, ok := strings.Cut(s, "-")
+	if !ok || !ValidIncarnation(sender) {
+		return AttemptID{}, fmt.Errorf("attempt identifier: %w", ErrBadID)
+	}
+	n, err := parseNumber(number)
+	if err != nil {
+		return AttemptID{}, err
+	}
+	return AttemptID{Sender: sender, N: n}, nil
+}
+
+// Minter issues identifier prefixes. It is safe for concurrent use.
+//
+// The issue time must be an instant of the named issuer. A minter that names
+// another issuer uses the newest instant that a heartbeat of that issuer
+// carried, without adding anything. That instant precedes the issue of the
+// prefix whatever the delay of the heartbeat, so the start window can only
+// close earlier than it would for an exact time, and no two clocks are
+// compared. A minter without a recent heartbeat names itself.
+type Minter struct {
+	self string
+	n    atomic.Uint64
+}
+
+// NewMinter returns a minter for the process incarnation self. It panics if
+// self is not a valid incarnation.
+func NewMinter(self string) *Minter {
+	if !ValidIncarnation(self) {
+		panic("snipeonce: invalid incarnation " + strconv.Quote(self))
+	}
+	return &Minter{self: self}
+}
+
+// Issue returns a fresh identifier with counter 0 that names the minter itself.
+func (m *Minter) Issue(now snipetime.Instant) RequestID {
+	return m.IssueFor(m.self, Millis(now))
+}
+
+// IssueFor returns a fresh identifier with counter 0 that names issuer.
+// heardMillis is the newest instant that a heartbeat of issuer carried.
+func (m *Minter) IssueFor(issuer string, heardMillis uint64) RequestID {
+	return RequestID{Incarnation: issuer, Minter: m.self, N: m.n.Add(1), IssuedAt: heardMillis}
+}
+
+// Millis returns the instant in whole milliseconds, rounded down.
+func Millis(now snipetime.Instant) uint64 {
+	return uint64(max(0, now.Sub(0).Milliseconds()))
+}
