--- /dev/null
+++ b/snipeconfig/catchup.go
@@ -0,0 +1,127 @@
+package snipeconfig
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// ErrDigest means that a catch-up does not lead to the digest that it states.
+var ErrDigest = errors.New("digest of the configuration does not match")
+
+// Version names the content of a document by its digest.
+type Version struct {
+	Ref    Ref
+	Digest uint64
+}
+
+// CatchUp holds what an instance lacks to reach a generation. It is made of
+// whole documents, one per team, so that its size grows with the teams that
+// differ and not with all teams. The scheme follows Jiménez-Peris,
+// Patiño-Martínez and Alonso, "An Algorithm for Non-Intrusive, Parallel
+// Recovery of Replicated Data and its Correctness", with a document as the
+// partition.
+type CatchUp struct {
+	Generation uint64
+	Digest     uint64
+	Operation  string
+	Documents  []CatchUpDocument
+}
+
+// CatchUpDocument is one document that differs. Body is its canonical form,
+// or nil if the document is deleted.
+type CatchUpDocument struct {
+	Version Version
+	Body    []byte
+	Deleted bool
+}
+
+// Bytes returns the sum of the sizes of all bodies.
+func (c CatchUp) Bytes() int {
+	sum := 0
+	for _, d := range c.Documents {
+		sum += len(d.Body)
+	}
+	return sum
+}
+
+// Versions returns the versions of all documents, sorted by kind and name.
+func (s *Snapshot) Versions() []Version {
+	versions := make([]Version, len(s.documents))
+	for i, d := range s.documents {
+		versions[i] = Version{Ref: d.ref, Digest: d.digest}
+	}
+	return versions
+}
+
+// CatchUpFor returns what an instance lacks that has the given versions. With
+// no versions the result holds every document.
+func (s *Snapshot) CatchUpFor(have []Version) CatchUp {
+	c := CatchUp{Generation: s.generation, Digest: s.digest, Operation: s.operation}
+	known := make(map[Ref]uint64, len(have))
+	for _, v := range have {
+		known[v.Ref] = v.Digest
+		if _, kept := s.Document(v.Ref); !kept {
+			c.Documents = append(c.Documents, CatchUpDocument{Version: v, Deleted: true})
+		}
+	}
+	for _, d := range s.documents {
+		if digest, ok := known[d.ref]; ok && digest == d.digest {
+			continue
+		}
+		c.Documents = append(c.Documents, CatchUpDocument{
+			Version: Version{Ref: d.ref, Digest: d.digest},
+			Body:    d.canonical,
+		})
+	}
+	return c
+}
+
+// Apply returns the snapshot that results from base and the differences. A nil
+// base has no documents. The error wraps ErrDigest if a document or the whole
+// result has another digest than stated, which also is so if base is not what
+// the differences were computed for. Otherwise it wraps a *FaultsError.
+func (c CatchUp) Apply(base *Snapshot) (*Snapshot, error) {
+	documents := map[Ref]*Document{}
+	if base != nil {
+		documents = byRef(base.documents)
+	}
+	for _, change := range c.Documents {
+		if change.Deleted {
+			delete(documents, change.Version.Ref)
+			continue
+		}
+		d, err := change.parse()
+		if err != nil {
+			return nil, err
+		}
+		documents[d.ref] = d
+	}
+	list := make([]*Document, 0, len(documents))
+	for _, d := range documents {
+		list = append(list, d)
+	}
+	s, err := Build(c.Generation, c.Operation, list)
+	if err != nil {
+		return nil, fmt.Errorf("build generation %d: %w", c.Generation, err)
+	}
+	if s.digest != c.Digest {
+		return nil, fmt.Errorf("generation %d: %w", c.Generation, ErrDigest)
+	}
+	return s, nil
+}
+
+func (d CatchUpDocument) parse() (*Document, error) {
+	if xxhash.Sum64(d.Body) != d.Version.Digest {
+		return nil, fmt.Errorf("document %s: %w", d.Version.Ref, ErrDigest)
+	}
+	doc, err := ParseDocument(d.Version.Ref.String(), d.Body)
+	if err != nil {
+		return nil, fmt.Errorf("document %s: %w", d.Version.Ref, err)
+	}
+	if doc.ref != d.Version.Ref || doc.digest != d.Version.Digest {
+		return nil, fmt.Errorf("document %s: %w", d.Version.Ref, ErrDigest)
+	}
+	return doc, nil
+}
--- /dev/null
+++ b/snipeconfig/team.go
@@ -0,0 +1,201 @@
+package snipeconfig
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// Team is a customer that owns services. It is immutable, and callers must not
+// modify the slices that its methods return.
+type Team struct {
+	name     string
+	services []*Service
+	byName   map[string]*Service
+	windows  []Window
+	blocks   []ClientBlock
+}
+
+// Name returns the name of the team.
+func (t *Team) Name() string { return t.name }
+
+// Services returns all services of the team, sorted by name.
+func (t *Team) Services() []*Service { return t.services }
+
+// Service returns the service with the given name.
+func (t *Team) Service(name string) (*Service, bool) {
+	s, ok := t.byName[name]
+	return s, ok
+}
+
+// Windows returns the drain windows in the order of the document.
+func (t *Team) Windows() []Window { return t.windows }
+
+// ClientBlocks returns the client blocks, sorted by address and length.
+func (t *Team) ClientBlocks() []ClientBlock { return t.blocks }
+
+// ClientBlock assigns a home place to the clients of an address block.
+type ClientBlock struct {
+	prefix netip.Prefix
+	place  *Place
+}
+
+// Prefix returns the address block.
+func (b ClientBlock) Prefix() netip.Prefix { return b.prefix }
+
+// Place returns the home place of the block's clients.
+func (b ClientBlock) Place() *Place { return b.place }
+
+// Window is a time span in which targets of a team are drained.
+type Window struct {
+	target netip.AddrPort
+	place  string
+	start  time.Time
+	end    time.Time
+}
+
+// Target returns the drained target, which is invalid if a place is drained.
+func (w Window) Target() netip.AddrPort { return w.target }
+
+// Place returns the drained place, which is empty if a target is drained.
+func (w Window) Place() string { return w.place }
+
+// Start returns the wall time at which the window begins.
+func (w Window) Start() time.Time { return w.start }
+
+// End returns the wall time at which the window is over.
+func (w Window) End() time.Time { return w.end }
+
+// covers reports whether the window drains the target at the given wall time.
+func (w Window) covers(target Target, at time.Time) bool {
+	if at.Before(w.start) || !at.Before(w.end) {
+		return false
+	}
+	return w.target == target.address || w.place == target.place.name
+}
+
+// Service is one service of a team. It is immutable, and callers must not
+// modify the slices that its methods return.
+type Service struct {
+	team     *Team
+	name     string
+	template *Template
+	home     *Place
+	places   []*Place
+	targets  []Target
+	byPlace  map[string][]Target
+	shift    Shift
+}
+
+// Team returns the team that owns the service.
+func (s *Service) Team() *Team { return s.team }
+
+// Name returns the name of the service.
+func (s *Service) Name() string { return s.name }
+
+// Template returns the template of the service.
+func (s *Service) Template() *Template { return s.template }
+
+// Class returns the service class, as set by the template.
+func (s *Service) Class() Class { return s.template.class }
+
+// HomePlace returns the place that serves clients without a client block.
+func (s *Service) HomePlace() *Place { return s.home }
+
+// Places returns the places with targets of the service, sorted by name.
+func (s *Service) Places() []*Place { return s.places }
+
+// Targets returns all targets, sorted by place and address.
+func (s *Service) Targets() []Target { return s.targets }
+
+// TargetsIn returns the targets in the named place, sorted by address.
+func (s *Service) TargetsIn(place string) []Target { return s.byPlace[place] }
+
+// Shift returns the caps on requests served away from their home place.
+func (s *Service) Shift() Shift { return s.shift }
+
+// Target is a back-end server.
+type Target struct {
+	address netip.AddrPort
+	place   *Place
+}
+
+// Address returns the address that the target listens on.
+func (t Target) Address() netip.AddrPort { return t.address }
+
+// Place returns the place that the target is in.
+func (t Target) Place() *Place { return t.place }
+
+// Shift holds the caps on a traffic shift.
+type Shift struct{ wire shiftWire }
+
+// RequestsPerSecond returns the cap on shifted requests per second.
+func (s Shift) RequestsPerSecond() float64 { return s.wire.RequestsPerSecond }
+
+// MbitPerSecond returns the cap on shifted traffic in 10^6 bits per second.
+func (s Shift) MbitPerSecond() float64 { return s.wire.MbitPerSecond }
+
+// BitsPerSecond returns the cap on shifted traffic in bits per second.
+func (s Shift) BitsPerSecond() float64 { return s.wire.MbitPerSecond * 1e6 }
+
+// GrowthPerSecond returns how fast shifted requests may grow, in requests per
+// second per second.
+func (s Shift) GrowthPerSecond() float64 { return s.wire.GrowthPerSecond }
+
+// newTeam converts a document whose references have been checked.
+func newTeam(w *teamWire, fleet *Fleet, templates map[string]*Template) *Team {
+	t := &Team{name: w.Name, byName: make(map[string]*Service, len(w.Services))}
+	for _, name := range sortedKeys(w.Services) {
+		s := newService(t, name, w.Services[name], fleet, templates)
+		t.services = append(t.services, s)
+		t.byName[name] = s
+	}
+	for _, window := range w.DrainWindows {
+		t.windows = append(t.windows, Window{
+			target: window.Target,
+			place:  window.Place,
+			start:  window.Start,
+			end:    window.End,
+		})
+	}
+	for block, place := range w.ClientBlocks {
+		t.blocks = append(t.blocks, ClientBlock{
+			prefix: netip.MustParsePrefix(block),
+			place:  fleet.placeByName[place],
+		})
+	}
+	slices.SortFunc(t.blocks, func(a, b ClientBlock) int {
+		return cmp.Or(
+			a.prefix.Addr().Compare(b.prefix.Addr()),
+			cmp.Compare(a.prefix.Bits(), b.prefix.Bits()),
+		)
+	})
+	return t
+}
+
+func newService(t *Team, name string, w serviceWire, fleet *Fleet, templates map[string]*Template) *Service {
+	s := &Service{
+		team:     t,
+		name:     name,
+		template: templates[w.Template],
+		home:     fleet.placeByName[w.HomePlace],
+		byPlace:  make(map[string][]Target, len(w.Targets)),
+		shift:    Shift{wire: w.Shift},
+	}
+	for _, placeName := range sortedKeys(w.Targets) {
+		place := fleet.placeByName[placeName]
+		addresses := slices.Clone(w.Targets[placeName])
+		if len(addresses) == 0 {
+			continue
+		}
+		slices.SortFunc(addresses, netip.AddrPort.Compare)
+		first := len(s.targets)
+		for _, address := range addresses {
+			s.targets = append(s.targets, Target{address: address, place: place})
+		}
+		s.places = append(s.places, place)
+		s.byPlace[placeName] = s.targets[first:len(s.targets):len(s.targets)]
+	}
+	return s
+}
