--- /dev/null
+++ b/snipestandin/storehttp.go
@@ -0,0 +1,335 @@
+package snipestandin
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+type itemWire struct {
+	Key     string `json:"key"`
+	Value   []byte `json:"value"`
+	Version uint64 `json:"version"`
+}
+
+type putWire struct {
+	Value     []byte `json:"value"`
+	IfVersion uint64 `json:"ifVersion"`
+	Lease     string `json:"lease"`
+}
+
+type versionWire struct {
+	Version uint64 `json:"version"`
+}
+
+type listWire struct {
+	Items    []itemWire `json:"items"`
+	Deleted  []string   `json:"deleted,omitempty"`
+	Revision uint64     `json:"revision"`
+}
+
+type grantWire struct {
+	TTL string `json:"ttl"`
+}
+
+type leaseWire struct {
+	Lease string `json:"lease"`
+}
+
+type errorWire struct {
+	Error string `json:"error"`
+}
+
+// maxStoreBodyBytes leaves room for the base64 form of the largest value.
+const maxStoreBodyBytes = 2 * MaxValueBytes
+
+// defaultWatchWait is the wait of a watch that names none.
+const defaultWatchWait = 30 * time.Second
+
+// Handler returns the HTTP interface of the store.
+func (s *Store) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /v1/kv/{key...}", s.read(CallGet, s.handleGet))
+	mux.Handle("GET /v1/list", s.read(CallList, s.handleList))
+	mux.Handle("GET /v1/watch", s.read(CallWatch, s.handleWatch))
+	mux.Handle("PUT /v1/kv/{key...}", s.write(CallPut, s.handlePut))
+	mux.Handle("DELETE /v1/kv/{key...}", s.write(CallDelete, s.handleDelete))
+	mux.Handle("POST /v1/leases", s.write(CallLease, s.handleGrant))
+	mux.Handle("POST /v1/leases/{id}/renew", s.write(CallRenew, s.handleRenew))
+	mux.Handle("DELETE /v1/leases/{id}", s.write(CallRevoke, s.handleRevoke))
+	mux.HandleFunc("POST /standin/fault", s.handleFault)
+	mux.HandleFunc("POST /standin/lapse", s.handleLapse)
+	mux.HandleFunc("GET /standin/calls", s.handleCalls)
+	return mux
+}
+
+// admit counts a call and applies the faults that keep it from taking effect.
+func (s *Store) admit(w http.ResponseWriter, r *http.Request, kind CallKind) bool {
+	s.mu.Lock()
+	s.calls[kind]++
+	faults := s.faults
+	refused := faults.RefuseFraction > 0 && s.random.Float64() < faults.RefuseFraction
+	s.mu.Unlock()
+	if !sleep(r.Context(), s.clock, faults.Delay) {
+		dropConnection()
+	}
+	switch faults.Outage {
+	case OutageError:
+		writeError(w, http.StatusServiceUnavailable, "outage")
+		return false
+	case OutageSilent:
+		s.silence(r.Context())
+		dropConnection()
+	case OutageClose:
+		dropConnection()
+	case OutageNone:
+	}
+	if refused {
+		writeError(w, http.StatusTooManyRequests, "call rate is exceeded")
+		return false
+	}
+	return true
+}
+
+// silence waits until the client is gone or the store is closed.
+func (s *Store) silence(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-s.closed:
+	}
+}
+
+func (s *Store) read(kind CallKind, h http.HandlerFunc) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.admit(w, r, kind) {
+			h(w, r)
+		}
+	})
+}
+
+// answer is the outcome of a write, kept until it is known whether the client
+// may see it.
+type answer struct {
+	status int
+	body   any
+}
+
+func (s *Store) write(kind CallKind, h func(*http.Request, []byte) answer) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxStoreBodyBytes))
+		if err != nil {
+			writeError(w, http.StatusRequestEntityTooLarge, "body is too large or incomplete")
+			return
+		}
+		if !s.admit(w, r, kind) {
+			return
+		}
+		s.mu.Lock()
+		if s.faults.LoseRequests > 0 {
+			s.faults.LoseRequests--
+			s.mu.Unlock()
+			dropConnection()
+		}
+		s.expire()
+		a := h(r, body)
+		lost := s.faults.LoseAnswers > 0
+		if lost {
+			s.faults.LoseAnswers--
+		}
+		s.mu.Unlock()
+		if lost {
+			dropConnection()
+		}
+		writeJSON(w, a.status, a.body)
+	})
+}
+
+func writeError(w http.ResponseWriter, status int, message string) {
+	writeJSON(w, status, errorWire{Error: message})
+}
+
+func failure(status int) answer {
+	return answer{status: status, body: errorWire{Error: http.StatusText(status)}}
+}
+
+func (s *Store) handleGet(w http.ResponseWriter, r *http.Request) {
+	key := r.PathValue("key")
+	s.mu.Lock()
+	s.expire()
+	item, ok := s.visible().items[key]
+	s.mu.Unlock()
+	if !ok {
+		writeError(w, http.StatusNotFound, "no such key")
+		return
+	}
+	writeJSON(w, http.StatusOK, itemWire{Key: key, Value: item.value, Version: item.version})
+}
+
+func (s *Store) handleList(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.expire()
+	list := s.visible().list(r.URL.Query().Get("prefix"), 0)
+	s.mu.Unlock()
+	list.Deleted = nil
+	writeJSON(w, http.StatusOK, list)
+}
+
+func (d *storeData) list(prefix string, after uint64) listWire {
+	keys, deleted := d.since(prefix, after)
+	list := listWire{Items: make([]itemWire, 0, len(keys)), Deleted: deleted, Revision: d.revision}
+	for _, key := range keys {
+		item := d.items[key]
+		list.Items = append(list.Items, itemWire{Key: key, Value: item.value, Version: item.version})
+	}
+	return list
+}
+
+func (s *Store) handleWatch(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
+	if err != nil {
+		writeError(w, http.StatusBadRequest, "after is not a revision")
+		return
+	}
+	wait := defaultWatchWait
+	if text := query.Get("wait"); text != "" {
+		wait, err = time.ParseDuration(text)
+		if err != nil {
+			writeError(w, http.StatusBadRequest, "wait is not a duration")
+			return
+		}
+	}
+	list, ok := s.watch(r.Context(), query.Get("prefix"), after, wait)
+	if !ok {
+		dropConnection()
+	}
+	writeJSON(w, http.StatusOK, list)
+}
+
+// watch waits for a change under the prefix. It also returns at once if the
+// store shows a lower revision than the client has seen, and reports false if
+// an outage begins or the client goes.
+func (s *Store) watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (listWire, bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timeout := make(chan struct{})
+	go func() {
+		if sleep(ctx, s.clock, wait) {
+			close(timeout)
+		}
+	}()
+	late := false
+	for {
+		s.mu.Lock()
+		s.expire()
+		list := s.visible().list(prefix, after)
+		changed := s.changed
+		outage := s.faults.Outage != OutageNone
+		s.mu.Unlock()
+		if outage {
+			return listWire{}, false
+		}
+		if late || len(list.Items) > 0 || len(list.Deleted) > 0 || list.Revision < after {
+			return list, true
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			late = true
+		case <-s.closed:
+			return listWire{}, false
+		case <-ctx.Done():
+			return listWire{}, false
+		}
+	}
+}
+
+func (s *Store) handlePut(r *http.Request, body []byte) answer {
+	var put putWire
+	if err := json.Unmarshal(body, &put); err != nil {
+		return failure(http.StatusBadRequest)
+	}
+	version, status := s.put(r.PathValue("key"), put.Value, put.IfVersion, put.Lease)
+	if status != http.StatusOK {
+		return failure(status)
+	}
+	return answer{status: status, body: versionWire{Version: version}}
+}
+
+func (s *Store) handleDelete(r *http.Request, _ []byte) answer {
+	ifVersion, err := strconv.ParseUint(r.URL.Query().Get("ifVersion"), 10, 64)
+	if err != nil {
+		return failure(http.StatusBadRequest)
+	}
+	status := s.deleteKey(r.PathValue("key"), ifVersion)
+	if status != http.StatusOK {
+		return failure(status)
+	}
+	return answer{status: status, body: versionWire{Version: s.data.revision}}
+}
+
+func (s *Store) handleGrant(_ *http.Request, body []byte) answer {
+	var grant grantWire
+	if err := json.Unmarshal(body, &grant); err != nil {
+		return failure(http.StatusBadRequest)
+	}
+	ttl, err := time.ParseDuration(grant.TTL)
+	if err != nil || ttl <= 0 {
+		return failure(http.StatusBadRequest)
+	}
+	return answer{status: http.StatusOK, body: leaseWire{Lease: s.grant(ttl)}}
+}
+
+func (s *Store) handleRenew(r *http.Request, _ []byte) answer {
+	id := r.PathValue("id")
+	lease, ok := s.leases[id]
+	if !ok {
+		return failure(http.StatusNotFound)
+	}
+	now := s.clock.Now()
+	lease.expires = now.Add(lease.ttl)
+	s.schedule(now)
+	return answer{status: http.StatusOK, body: leaseWire{Lease: id}}
+}
+
+func (s *Store) handleRevoke(r *http.Request, _ []byte) answer {
+	id := r.PathValue("id")
+	if _, ok := s.leases[id]; !ok {
+		return failure(http.StatusNotFound)
+	}
+	s.removeLease(id)
+	s.wake()
+	return answer{status: http.StatusOK, body: leaseWire{Lease: id}}
+}
+
+func (s *Store) handleFault(w http.ResponseWriter, r *http.Request) {
+	var f StoreFaults
+	if readControl(w, r, &f) {
+		s.SetFaults(f)
+		writeJSON(w, http.StatusOK, struct{}{})
+	}
+}
+
+// lapseRequest names the lease to expire; without one, all leases expire.
+type lapseRequest struct{ Lease string }
+
+func (s *Store) handleLapse(w http.ResponseWriter, r *http.Request) {
+	var request lapseRequest
+	if !readControl(w, r, &request) {
+		return
+	}
+	if request.Lease == "" {
+		s.LapseAll()
+	} else if !s.Lapse(request.Lease) {
+		writeError(w, http.StatusNotFound, "no such lease")
+		return
+	}
+	writeJSON(w, http.StatusOK, struct{}{})
+}
+
+func (s *Store) handleCalls(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, s.Calls())
+}
