--- /dev/null
+++ b/snipelimit/types.go
@@ -0,0 +1,176 @@
+package snipelimit
+
+import (
+	"time"
+
+	"github.com/snipemoor/snipemoor/snipetime"
+)
+
+// UnitsPerLimit is the number of units that a limit is divided into.
+const UnitsPerLimit = 1_000_000
+
+const (
+	defaultMaxLoan     = 4 * time.Second
+	defaultSplitSettle = 15 * time.Second
+	defaultBurst       = 20 * time.Millisecond
+	defaultReserve     = 5.0
+	driftDivisor       = 100
+	driftConstant      = 100 * time.Millisecond
+)
+
+// Config holds the settings of a Ledger. Incarnation and Positions are
+// required; other zero values select the defaults.
+type Config struct {
+	// Incarnation identifies this process; no two processes share one.
+	Incarnation string
+	// Positions is the number of positions of the region.
+	Positions int
+	// MaxLoan is the longest duration of a loan; the default is 4 s.
+	MaxLoan time.Duration
+	// DriftMargin is added where this instance waits for a loan that another
+	// one counts; the default is 1 % of MaxLoan plus 100 ms.
+	DriftMargin time.Duration
+	// SplitSettle is how long a raised fraction is not used; the default is
+	// 15 s.
+	SplitSettle time.Duration
+	// Seed makes random choices repeatable.
+	Seed uint64
+}
+
+func (c Config) withDefaults() Config {
+	if c.MaxLoan == 0 {
+		c.MaxLoan = defaultMaxLoan
+	}
+	if c.DriftMargin == 0 {
+		c.DriftMargin = c.MaxLoan/driftDivisor + driftConstant
+	}
+	if c.SplitSettle == 0 {
+		c.SplitSettle = defaultSplitSettle
+	}
+	return c
+}
+
+// Limit is a configured rate limit.
+type Limit struct {
+	// ID names the limit.
+	ID string
+	// PerSecond is the cap of the whole limit, in amounts (bits or requests)
+	// per second.
+	PerSecond float64
+	// Fraction is the part of the units that this region has, from 0 to 1.
+	Fraction float64
+	// Burst bounds what a bucket saves up.
+	Burst Burst
+	// Growth is the largest growth of the admitted rate of the whole limit, in
+	// amounts per second per second; 0 sets no bound.
+	Growth float64
+	// ReservePercent is the part of PerSecond that is not given out; 0 selects
+	// 5 %.
+	ReservePercent float64
+	// Shared reports that other regions have units too and can lend them.
+	Shared bool
+}
+
+// Burst is the larger of Duration at the rate of the bucket and Minimum.
+type Burst struct {
+	// Duration defaults to 20 ms.
+	Duration time.Duration
+	// Minimum is an amount. A bucket needs none to admit a large amount,
+	// because it goes into debt.
+	Minimum float64
+}
+
+// Holding is a position that the instance holds.
+type Holding struct {
+	// Index is the position.
+	Index int
+	// LeaseEnd is when its lease ends.
+	LeaseEnd snipetime.Instant
+	// Since is when the position was acquired.
+	Since snipetime.Instant
+	// Inherited reports that an earlier incarnation at the same address held
+	// the position and can have lent its units.
+	Inherited bool
+}
+
+// Peer is an instance that can lend.
+type Peer struct {
+	// Address is the peer address.
+	Address string
+	// SameRegion reports whether the peer is in the region of this instance.
+	SameRegion bool
+	// Positions is the number of positions that the peer is known to hold.
+	Positions int
+}
+
+// LoanRequest asks for units of a limit.
+type LoanRequest struct {
+	// LoanID identifies the loan and the attempt: a later attempt for the same
+	// loan extends it.
+	LoanID string
+	// Limit names the limit.
+	Limit string
+	// Units is the number of units wanted.
+	Units int
+	// Duration is counted by the borrower from the sending of the request.
+	Duration time.Duration
+}
+
+// LoanReply answers a LoanRequest; zero units are a refusal.
+type LoanReply struct {
+	// LoanID and Limit are those of the request.
+	LoanID, Limit string
+	// Units is the number of units lent.
+	Units int
+	// Duration is that of the loan.
+	Duration time.Duration
+}
+
+// LoanReturn ends a loan early.
+type LoanReturn struct {
+	// LoanID and Limit are those of the loan.
+	LoanID, Limit string
+}
+
+// Outgoing is a message to a peer. Exactly one of Request and Return is set.
+type Outgoing struct {
+	// To is the peer address.
+	To string
+	// Request is a request for a loan.
+	Request *LoanRequest
+	// Return ends a loan.
+	Return *LoanReturn
+}
+
+// RefusalError is the reason why Bucket.Spend admits nothing.
+type RefusalError uint8
+
+// Refusals.
+const (
+	// ErrCapReached means that the tokens are used up.
+	ErrCapReached RefusalError = iota + 1
+	// ErrLeaseLapsed means that the instance has no valid lease and no loan.
+	ErrLeaseLapsed
+)
+
+// Error implements error.
+func (r RefusalError) Error() string {
+	if r == ErrLeaseLapsed {
+		return "snipelimit: no valid lease or loan"
+	}
+	return "snipelimit: cap reached"
+}
+
+// Status describes a limit at one instance.
+type Status struct {
+	// ID names the limit.
+	ID string
+	// PerSecond is the cap of the whole limit.
+	PerSecond float64
+	// Units is the number of usable units, loans included.
+	Units int
+	// Borrowed and Lent are the units of loans that have not ended.
+	Borrowed, Lent int
+	// UsedPerSecond and DemandPerSecond are recent rates of this instance.
+	UsedPerSecond, DemandPerSecond float64
+}
