--- a/snipeconfig/decode.go
+++ b/snipeconfig/decode.go
@@ -192,7 +192,7 @@
 		if !fresh {
 			continue
 		}
-		if r.names && !validName(name) {
+		if r.names && !ValidName(name) {
 			s.Faultf(keyPath(join(path, name)), "%s", badName(name))
 		}
 		element := reflect.New(out.Type().Elem()).Elem()
@@ -232,7 +232,7 @@
 		return
 	}
 	out.SetString(text)
-	if r.name && text != "" && !validName(text) {
+	if r.name && text != "" && !ValidName(text) {
 		s.Faultf(path, "%s", badName(text))
 	}
 	if len(r.oneOf) > 0 && text != "" && !slices.Contains(r.oneOf, text) {
@@ -354,7 +354,9 @@
 // keys and label values.
 const maxNameBytes = 63
 
-func validName(name string) bool {
+// ValidName reports whether text is a name: lower-case letters, digits and inner
+// hyphens, at most 63 bytes.
+func ValidName(name string) bool {
 	if name == "" || len(name) > maxNameBytes {
 		return false
 	}
--- /dev/null
+++ b/snipestore/client.go
@@ -0,0 +1,255 @@
+package snipestore
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"golang.org/x/time/rate"
+)
+
+// MaxValueBytes is the size of the largest value that the store holds.
+const MaxValueBytes = 1 << 20
+
+// The values of settings that are zero.
+const (
+	DefaultCallTimeout    = 2 * time.Second
+	DefaultWatchWait      = time.Second
+	DefaultWatchGrace     = 500 * time.Millisecond
+	DefaultReadTries      = 3
+	DefaultCallsPerSecond = 20
+	DefaultCallBurst      = 40
+	DefaultMaxAnswerBytes = 16 << 20
+	DefaultBackoff        = 100 * time.Millisecond
+	DefaultMaxBackoff     = 5 * time.Second
+)
+
+// Settings are the settings of a client. Only Addresses must be set.
+type Settings struct {
+	// Addresses are the addresses of the store, as ip:port. After a failure
+	// the client goes on with the next one.
+	Addresses []string
+	// CallTimeout is the time limit of each call, except of a watch.
+	CallTimeout time.Duration
+	// WatchWait is how long the store may hold a watch without a change, and
+	// WatchGrace how much longer the answer may take; after a failure, it may
+	// take CallTimeout longer. The sum bounds how long an unresponsive
+	// connection hides a change, which must be in force within 3 s.
+	WatchWait  time.Duration
+	WatchGrace time.Duration
+	// ReadTries is how often a read is sent before it fails.
+	ReadTries uint
+	// CallsPerSecond is the call budget, and CallBurst how many calls may
+	// follow each other at once.
+	CallsPerSecond float64
+	CallBurst      int
+	// MaxAnswerBytes is the size of the largest accepted answer.
+	MaxAnswerBytes int64
+	// Backoff is the first delay before a repetition, MaxBackoff the largest.
+	// Both are subject to jitter.
+	Backoff    time.Duration
+	MaxBackoff time.Duration
+	// DialContext opens connections. If nil, a plain dialer is used.
+	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
+	// Observer, if not nil, is told about each call.
+	Observer Observer
+}
+
+func (s Settings) withDefaults() Settings {
+	if s.DialContext == nil {
+		s.DialContext = (&net.Dialer{}).DialContext
+	}
+	setDefault(&s.CallTimeout, DefaultCallTimeout)
+	setDefault(&s.WatchWait, DefaultWatchWait)
+	setDefault(&s.WatchGrace, DefaultWatchGrace)
+	setDefault(&s.ReadTries, DefaultReadTries)
+	setDefault(&s.CallsPerSecond, DefaultCallsPerSecond)
+	setDefault(&s.CallBurst, DefaultCallBurst)
+	setDefault(&s.MaxAnswerBytes, DefaultMaxAnswerBytes)
+	setDefault(&s.Backoff, DefaultBackoff)
+	setDefault(&s.MaxBackoff, DefaultMaxBackoff)
+	return s
+}
+
+func setDefault[T comparable](value *T, standard T) {
+	var zero T
+	if *value == zero {
+		*value = standard
+	}
+}
+
+// Client is a client of the store. It is safe for concurrent use.
+type Client struct {
+	settings  Settings
+	transport *http.Transport
+	http      *http.Client
+	budget    *rate.Limiter
+	address   atomic.Uint64
+	available atomic.Bool
+	counts    counters
+}
+
+// New returns a client. It panics if there is no address.
+func New(settings Settings) *Client {
+	if len(settings.Addresses) == 0 {
+		panic("snipestore: no address of the store")
+	}
+	settings = settings.withDefaults()
+	transport := &http.Transport{
+		DialContext:         settings.DialContext,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: 4,
+		IdleConnTimeout:     30 * time.Second,
+	}
+	return &Client{
+		settings:  settings,
+		transport: transport,
+		http: &http.Client{
+			Transport: transport,
+			// A redirect would send a write a second time.
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+		budget: rate.NewLimiter(rate.Limit(settings.CallsPerSecond), settings.CallBurst),
+	}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
+
+// Available reports whether the last call that was sent got an answer from a
+// working store. It is false before the first call.
+func (c *Client) Available() bool { return c.available.Load() }
+
+// Item is a key with its value and version.
+type Item struct {
+	Key     string
+	Value   []byte
+	Version uint64
+}
+
+// Get returns the item of a key. The error wraps ErrNotFound if there is none.
+func (c *Client) Get(ctx context.Context, key string) (Item, error) {
+	var answer itemWire
+	err := c.read(ctx, CallGet, key, keyPath(key), &answer)
+	if err != nil {
+		return Item{}, err
+	}
+	return answer.item(), nil
+}
+
+// List returns the items under a prefix, and the revision of the store at
+// which they were read.
+func (c *Client) List(ctx context.Context, prefix string) (items []Item, revision uint64, err error) {
+	var answer listWire
+	err = c.read(ctx, CallList, prefix, "/v1/list?prefix="+url.QueryEscape(prefix), &answer)
+	if err != nil {
+		return nil, 0, err
+	}
+	return answer.items(), answer.Revision, nil
+}
+
+// Create writes a key that does not exist yet, as Put with version 0.
+func (c *Client) Create(ctx context.Context, key string, value []byte, lease string) (version uint64, err error) {
+	return c.Put(ctx, key, value, 0, lease)
+}
+
+// Put writes a key if its version is ifVersion, and returns the new version.
+// The key is deleted when the lease, if not empty, expires. The error wraps
+// ErrConflict if the key has another version, ErrLeaseExpired if there is no
+// such lease, and ErrUnclear if the write may have taken effect.
+func (c *Client) Put(ctx context.Context, key string, value []byte, ifVersion uint64, lease string) (version uint64, err error) {
+	if len(value) > MaxValueBytes {
+		err := &CallError{call: CallPut, name: key, kind: ErrTooLarge}
+		c.observe(CallPut, err, 0)
+		return 0, err
+	}
+	var answer versionWire
+	request := putWire{Value: value, IfVersion: ifVersion, Lease: lease}
+	err = c.write(ctx, CallPut, key, http.MethodPut, keyPath(key), request, &answer)
+	if err != nil {
+		return 0, err
+	}
+	return answer.Version, nil
+}
+
+// Delete removes a key if its version is ifVersion. The error wraps ErrConflict
+// if the key has another version, ErrNotFound if there is no such key, and
+// ErrUnclear if the key may have been removed.
+func (c *Client) Delete(ctx context.Context, key string, ifVersion uint64) error {
+	path := keyPath(key) + "?ifVersion=" + strconv.FormatUint(ifVersion, 10)
+	return c.write(ctx, CallDelete, key, http.MethodDelete, path, nil, nil)
+}
+
+// Grant creates a lease that expires ttl after its last renewal, and returns
+// its identifier. After ErrUnclear there may be a lease that nobody renews.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (lease string, err error) {
+	var answer leaseWire
+	err = c.write(ctx, CallGrant, ttl.String(), http.MethodPost, "/v1/leases", grantWire{TTL: ttl.String()}, &answer)
+	if err != nil {
+		return "", err
+	}
+	return answer.Lease, nil
+}
+
+// Renew renews a lease. The error wraps ErrLeaseExpired if there is no such
+// lease. The new term counts from some moment between call and return.
+func (c *Client) Renew(ctx context.Context, lease string) error {
+	path := "/v1/leases/" + url.PathEscape(lease) + "/renew"
+	return c.write(ctx, CallRenew, lease, http.MethodPost, path, nil, nil)
+}
+
+// Revoke ends a lease and deletes its keys. The error wraps ErrLeaseExpired if
+// there is no such lease.
+func (c *Client) Revoke(ctx context.Context, lease string) error {
+	path := "/v1/leases/" + url.PathEscape(lease)
+	return c.write(ctx, CallRevoke, lease, http.MethodDelete, path, nil, nil)
+}
+
+// keyPath escapes the segments of a key and keeps the slashes between them.
+func keyPath(key string) string {
+	segments := strings.Split(key, "/")
+	for i, segment := range segments {
+		segments[i] = url.PathEscape(segment)
+	}
+	return "/v1/kv/" + strings.Join(segments, "/")
+}
+
+// newBackoff returns a source of growing delays with jitter.
+func (c *Client) newBackoff() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = c.settings.Backoff
+	b.MaxInterval = c.settings.MaxBackoff
+	return b
+}
+
+// read sends a read until it has an answer, the tries are spent or ctx ends.
+func (c *Client) read(ctx context.Context, call Call, name, path string, answer any) error {
+	operation := func() (struct{}, error) {
+		err := c.attempt(ctx, attempt{call: call, name: name, method: http.MethodGet, path: path, answer: answer})
+		if err != nil && !errors.Is(err, ErrUnavailable) {
+			return struct{}{}, backoff.Permanent(err)
+		}
+		return struct{}{}, err
+	}
+	_, err := backoff.Retry(ctx, operation, backoff.WithBackOff(c.newBackoff()), backoff.WithMaxTries(c.settings.ReadTries))
+	if err == nil {
+		return nil
+	}
+	var callError *CallError
+	if errors.As(err, &callError) {
+		return callError
+	}
+	return &CallError{call: call, name: name, kind: ErrUnavailable, cause: err}
+}
+
+// write sends a write once.
+func (c *Client) write(ctx context.Context, call Call, name, method, path string, body, answer any) error {
+	return c.attempt(ctx, attempt{call: call, name: name, method: method, path: path, body: body, answer: answer})
+}
--- /dev/null
+++ b/snipestore/writer.go
@@ -0,0 +1,349 @@
+package snipestore
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/snipemoor/snipemoor/snipeconfig"
+)
+
+// Outcome is the outcome of a configuration change.
+type Outcome int
+
+// The outcomes of a change.
+const (
+	// Committed means that the change is accepted for good.
+	Committed Outcome = iota + 1
+	// Stale means that another change came first. This one has no effect.
+	Stale
+	// Unclear means that the change may have been accepted, or may yet be.
+	Unclear
+	// StoreBehind means that the store shows a lower generation than the
+	// writer knows of. The change has no effect.
+	StoreBehind
+)
+
+// String returns the name of the outcome.
+func (o Outcome) String() string {
+	switch o {
+	case Committed:
+		return "committed"
+	case Stale:
+		return "stale"
+	case Unclear:
+		return "unclear"
+	case StoreBehind:
+		return "storeBehind"
+	default:
+		return "unknown"
+	}
+}
+
+// Change is a change of the configuration.
+type Change struct {
+	// Operation identifies the change. No other change may have the same
+	// identifier; a repetition of the change must have it.
+	Operation string
+	// Base is the snapshot that the change is based on, nil for the first one.
+	Base *snipeconfig.Snapshot
+	// Known is the highest generation that the writer knows to be in force.
+	Known uint64
+	// Set are the documents to add or replace, Delete those to remove.
+	Set    []*snipeconfig.Document
+	Delete []snipeconfig.Ref
+}
+
+// NewOperation returns a random operation identifier.
+func NewOperation() string {
+	return "op-" + strings.ToLower(rand.Text())
+}
+
+// ReplaceAll returns the change that leads from base to exactly the given
+// documents, except that drains of base that are not among them are kept.
+func ReplaceAll(operation string, base *snipeconfig.Snapshot, documents []*snipeconfig.Document) Change {
+	change := Change{Operation: operation, Base: base, Set: documents}
+	if base == nil {
+		return change
+	}
+	keep := make(map[snipeconfig.Ref]bool, len(documents))
+	for _, d := range documents {
+		keep[d.Ref()] = true
+	}
+	for _, d := range base.Documents() {
+		if d.Ref().Kind != snipeconfig.KindDrain && !keep[d.Ref()] {
+			change.Delete = append(change.Delete, d.Ref())
+		}
+	}
+	return change
+}
+
+// Report is the result of a change.
+type Report struct {
+	outcome    Outcome
+	generation uint64
+	difference []string
+}
+
+// Outcome returns the outcome of the change.
+func (r Report) Outcome() Outcome { return r.outcome }
+
+// Generation returns the generation that the change led to if it is committed,
+// the one it would lead to if that is unclear, else the one that the store shows.
+func (r Report) Generation() uint64 { return r.generation }
+
+// Difference returns, for a stale change, the lines by which the store's
+// configuration differs from the base of the change.
+func (r Report) Difference() []string { return r.difference }
+
+// settleTries is how often a writer tries to learn what became of its write.
+const settleTries = 8
+
+// Writer changes the configuration in the store.
+type Writer struct {
+	client *Client
+	reader *Reader
+}
+
+// NewWriter returns a writer that uses the client.
+func NewWriter(client *Client) *Writer {
+	return &Writer{client: client, reader: NewReader(client)}
+}
+
+// Apply makes a change by the procedure of section 4.9 of the design: it writes
+// the documents, which nobody refers to yet, and commits them by a
+// compare-and-swap of the index. An error means that the change had no effect
+// and will have none: the configuration is invalid, or the store failed before
+// the index was written. Apply can be repeated with the same change; an error
+// then says nothing about earlier calls with an unclear outcome.
+func (w *Writer) Apply(ctx context.Context, change Change) (Report, error) {
+	if !snipeconfig.ValidName(change.Operation) {
+		return Report{}, fmt.Errorf("operation identifier %q is not a name", change.Operation)
+	}
+	head, err := w.head(ctx)
+	if err != nil {
+		return Report{}, err
+	}
+	if report, done := w.compare(ctx, head, change); done {
+		return report, nil
+	}
+	snapshot, err := nextSnapshot(change)
+	if err != nil {
+		return Report{}, err
+	}
+	next := head.next(snapshot)
+	if err := w.writeDocuments(ctx, snapshot, next); err != nil {
+		return Report{}, err
+	}
+	value, err := json.Marshal(next)
+	if err != nil {
+		return Report{}, fmt.Errorf("encode index: %w", err)
+	}
+	return w.commit(ctx, change, head, value)
+}
+
+// head reads the index and returns an empty one if there is none yet.
+func (w *Writer) head(ctx context.Context) (Head, error) {
+	head, err := w.reader.Head(ctx)
+	if errors.Is(err, ErrNotFound) {
+		return Head{}, nil
+	}
+	return head, err
+}
+
+func generationOf(s *snipeconfig.Snapshot) uint64 {
+	if s == nil {
+		return 0
+	}
+	return s.Generation()
+}
+
+// compare checks the index against the base of the change. It reports whether
+// the outcome is known already.
+func (w *Writer) compare(ctx context.Context, head Head, change Change) (Report, bool) {
+	if generation, ok := head.Committed(change.Operation); ok {
+		return Report{outcome: Committed, generation: generation}, true
+	}
+	base := generationOf(change.Base)
+	if head.Generation() < max(base, change.Known) {
+		return Report{outcome: StoreBehind, generation: head.Generation()}, true
+	}
+	sameDigest := change.Base == nil || head.Digest() == change.Base.Digest()
+	if head.Generation() == base && sameDigest {
+		return Report{}, false
+	}
+	return w.stale(ctx, head, change), true
+}
+
+// stale reports a stale base. The outcome is certain even if the documents for
+// the difference cannot be read.
+func (w *Writer) stale(ctx context.Context, head Head, change Change) Report {
+	report := Report{outcome: Stale, generation: head.Generation()}
+	if current, err := w.reader.LoadHead(ctx, head, nil); err != nil {
+		report.difference = []string{"difference not available: " + err.Error()}
+	} else {
+		report.difference = snipeconfig.Diff(change.Base, current)
+	}
+	return report
+}
+
+// nextSnapshot validates the configuration after the change.
+func nextSnapshot(change Change) (*snipeconfig.Snapshot, error) {
+	documents := map[snipeconfig.Ref]*snipeconfig.Document{}
+	if change.Base != nil {
+		for _, d := range change.Base.Documents() {
+			documents[d.Ref()] = d
+		}
+	}
+	for _, ref := range change.Delete {
+		delete(documents, ref)
+	}
+	for _, d := range change.Set {
+		documents[d.Ref()] = d
+	}
+	list := make([]*snipeconfig.Document, 0, len(documents))
+	for _, d := range documents {
+		list = append(list, d)
+	}
+	snapshot, err := snipeconfig.Build(generationOf(change.Base)+1, change.Operation, list)
+	if err != nil {
+		return nil, fmt.Errorf("check change %s: %w", change.Operation, err)
+	}
+	if err := snipeconfig.CheckChange(change.Base, snapshot).Err(); err != nil {
+		return nil, fmt.Errorf("check change %s: %w", change.Operation, err)
+	}
+	return snapshot, nil
+}
+
+// writeDocuments writes the documents that the change adds or replaces.
+func (w *Writer) writeDocuments(ctx context.Context, snapshot *snipeconfig.Snapshot, next headWire) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(maxParallelLoads)
+	for i, entry := range next.Documents {
+		if entry.Operation != snapshot.Operation() {
+			continue
+		}
+		d := snapshot.Documents()[i]
+		group.Go(func() error { return w.writeDocument(ctx, entry.key(), d) })
+	}
+	if err := group.Wait(); err != nil {
+		return fmt.Errorf("write documents of %s: %w", snapshot.Operation(), err)
+	}
+	return nil
+}
+
+// writeDocument creates an immutable document. It may be repeated, because
+// every repetition writes the same value to the same key.
+func (w *Writer) writeDocument(ctx context.Context, key string, d *snipeconfig.Document) error {
+	pause := w.client.newBackoff()
+	var err error
+	for range settleTries {
+		_, err = w.client.Create(ctx, key, d.Canonical(), "")
+		if err == nil {
+			return nil
+		}
+		if errors.Is(err, ErrConflict) {
+			return w.checkDocument(ctx, key, d)
+		}
+		if !errors.Is(err, ErrUnclear) && !errors.Is(err, ErrUnavailable) && !errors.Is(err, ErrBudget) {
+			return err
+		}
+		if !wait(ctx, pause.NextBackOff()) {
+			return err
+		}
+	}
+	return err
+}
+
+// checkDocument checks that a document that exists is the one to be written.
+func (w *Writer) checkDocument(ctx context.Context, key string, d *snipeconfig.Document) error {
+	item, err := w.client.Get(ctx, key)
+	if err != nil {
+		return err
+	}
+	if !sameDocument(item.Value, d) {
+		return fmt.Errorf("%s exists with another content: the operation identifier was used before", key)
+	}
+	return nil
+}
+
+// commit writes the index. The write may be repeated, because every repetition
+// expects the same version, so that at most one of them takes effect.
+func (w *Writer) commit(ctx context.Context, change Change, head Head, value []byte) (Report, error) {
+	pause := w.client.newBackoff()
+	generation := generationOf(change.Base) + 1
+	sent := false
+	var err error
+	for range settleTries {
+		_, err = w.client.Put(ctx, HeadKey, value, head.Version(), "")
+		if err == nil {
+			return Report{outcome: Committed, generation: generation}, nil
+		}
+		if errors.Is(err, ErrTooLarge) && !sent {
+			return Report{}, fmt.Errorf("write index: %w", err)
+		}
+		sent = sent || mayHaveTakenEffect(err)
+		if sent {
+			if report, settled := w.settle(ctx, change, head); settled {
+				return report, nil
+			}
+		}
+		if !wait(ctx, pause.NextBackOff()) {
+			break
+		}
+	}
+	if !sent {
+		return Report{}, fmt.Errorf("write index: %w", err)
+	}
+	return Report{outcome: Unclear, generation: generation}, nil
+}
+
+// mayHaveTakenEffect reports whether a write of the index that failed with err
+// may have taken effect. Status 503 does not exclude it. A conflict can be one
+// with an earlier try, or with an earlier call for the same change.
+func mayHaveTakenEffect(err error) bool {
+	var callError *CallError
+	if errors.As(err, &callError) && callError.Status() == http.StatusServiceUnavailable {
+		return true
+	}
+	return errors.Is(err, ErrUnclear) || errors.Is(err, ErrConflict)
+}
+
+// settle reads the index back after a write of it without a clear answer. It
+// reports whether the outcome is certain. As long as the index still has the
+// version that the write expects, the write can take effect later.
+func (w *Writer) settle(ctx context.Context, change Change, base Head) (Report, bool) {
+	head, err := w.head(ctx)
+	if err != nil {
+		return Report{}, false
+	}
+	if generation, ok := head.Committed(change.Operation); ok {
+		return Report{outcome: Committed, generation: generation}, true
+	}
+	if head.Version() <= base.Version() {
+		return Report{}, false
+	}
+	if head.Generation() > base.Generation()+RecentOperations {
+		return Report{}, false
+	}
+	return w.stale(ctx, head, change), true
+}
+
+// wait waits for d and reports false if ctx ends first.
+func wait(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
