--- /dev/null
+++ b/snipemember/mesh.go
@@ -0,0 +1,123 @@
+package snipemember
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/snipemoor/snipemoor/snipetime"
+)
+
+const (
+	// Period is the time between heartbeats to peers of the own failure domain,
+	// and to all peers of a full mesh.
+	Period = 500 * time.Millisecond
+	// RemotePeriod is the time between heartbeats to delegates of other failure
+	// domains when the fleet is no full mesh. With 34 such sessions a shorter
+	// period would exceed the control traffic of a node.
+	RemotePeriod = 2 * time.Second
+
+	delegatesPerDomain = 2
+	watchersPerFleet   = 2
+	// watcherGrace is how long a region waits for news of a watcher before its
+	// first instance takes a watch.
+	watcherGrace = 3 * time.Second
+)
+
+// Peer is an instance to hold a session with.
+type Peer struct {
+	Address     string
+	PeerAddress string
+	// Period is the time between heartbeats on the session.
+	Period time.Duration
+}
+
+// Mesh returns the peers to hold sessions with, sorted by address. Views differ
+// while they converge; a session exists if either side wants it.
+func (v *View) Mesh() []Peer {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	full := v.fullMesh()
+	own := v.members[v.self].Domain
+	delegates := v.delegates()
+	reaches := delegates[v.self]
+	var peers []Peer
+	for address, e := range v.members {
+		if address == v.self || e.State == Gone {
+			continue
+		}
+		switch {
+		case full || e.Domain == own:
+			peers = append(peers, Peer{address, e.PeerAddress, Period})
+		case reaches && delegates[address]:
+			peers = append(peers, Peer{address, e.PeerAddress, RemotePeriod})
+		}
+	}
+	slices.SortFunc(peers, func(a, b Peer) int { return cmp.Compare(a.Address, b.Address) })
+	return peers
+}
+
+// delegates returns the delegates of all domains. Suspect members are chosen
+// only where there are not enough others: after a start all members are suspect
+// until sessions exist.
+func (v *View) delegates() map[string]bool {
+	domains := make(map[string][]*entry)
+	for _, e := range v.members {
+		if e.State != Gone {
+			domains[e.Domain] = append(domains[e.Domain], e)
+		}
+	}
+	chosen := make(map[string]bool)
+	for domain, members := range domains {
+		for _, e := range rendezvous("delegate/"+domain, members, delegatesPerDomain) {
+			chosen[e.Address] = true
+		}
+	}
+	return chosen
+}
+
+// Watches reports whether this instance holds the configuration watches: it is
+// one of two in the fleet, or the first of a region that has known no live
+// watcher for some seconds.
+func (v *View) Watches(now snipetime.Instant) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.now = max(v.now, now)
+	self := v.members[v.self]
+	var live, regional []*entry
+	for _, e := range v.members {
+		if e.State != Live {
+			continue
+		}
+		live = append(live, e)
+		if e.Region == self.Region {
+			regional = append(regional, e)
+		}
+		if e.Watching && e != self {
+			v.watcherSeen = v.now
+		}
+	}
+	if slices.Contains(rendezvous("watch", live, watchersPerFleet), self) {
+		return true
+	}
+	return v.now.Sub(v.watcherSeen) >= watcherGrace &&
+		slices.Contains(rendezvous("watch/"+self.Region, regional, 1), self)
+}
+
+// rendezvous returns the n members with the highest hash of name and address,
+// live ones first.
+func rendezvous(name string, members []*entry, n int) []*entry {
+	score := func(e *entry) uint64 { return xxhash.Sum64String(name + "/" + e.Address) }
+	slices.SortFunc(members, func(a, b *entry) int {
+		if (a.State == Live) != (b.State == Live) {
+			if a.State == Live {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(score(b), score(a)), cmp.Compare(a.Address, b.Address))
+	})
+	return members[:min(n, len(members))]
+}
--- a/snipeonce/table.go
+++ b/snipeonce/table.go
@@ -41,8 +41,6 @@
 	expiry  expiryHeap
 	bytes   int
 	shut    bool
-	// closedAt is the issuer's instant of Close.
-	closedAt snipetime.Instant
 	refused  closedSet
 	inherits map[string]*inheritance
 	notices  map[string]notice
