--- /dev/null
+++ b/snipepeer/session.go
@@ -0,0 +1,276 @@
+package snipepeer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+
+	"github.com/hashicorp/yamux"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/snipemoor/snipemoor/snipewire"
+)
+
+// RemoteError is the error text that the handler of a call returned.
+type RemoteError struct {
+	// Text is the message of the handler's error.
+	Text string
+}
+
+// Error implements error.
+func (e *RemoteError) Error() string { return "peer answered: " + e.Text }
+
+// session is one yamux session after its Hello exchange.
+type session struct {
+	node    *Node
+	peer    Peer
+	mux     *yamux.Session
+	control net.Conn
+	// preferred is set if the side with the lower address dialled.
+	preferred bool
+
+	ctx       context.Context
+	cancel    context.CancelFunc
+	done      chan struct{}
+	closeOnce sync.Once
+	out       chan *snipewire.Control
+	running   chan struct{}
+	relays    chan struct{}
+
+	mu       sync.Mutex
+	nextCall uint64
+	waiting  map[uint64]chan *snipewire.Control
+}
+
+func newSession(n *Node, mux *yamux.Session, control net.Conn, h *snipewire.Hello, dialled bool) *session {
+	ctx, cancel := context.WithCancel(n.ctx)
+	lower := n.settings.Address < h.GetAddress()
+	return &session{
+		node: n,
+		peer: Peer{
+			Address:     h.GetAddress(),
+			Incarnation: h.GetIncarnation(),
+			Place:       h.GetPlace(),
+			Epoch:       h.GetSessionEpoch(),
+		},
+		mux:       mux,
+		control:   control,
+		preferred: dialled == lower,
+		ctx:       ctx,
+		cancel:    cancel,
+		done:      make(chan struct{}),
+		out:       make(chan *snipewire.Control, n.settings.QueueLength),
+		running:   make(chan struct{}, n.settings.MaxCalls),
+		relays:    make(chan struct{}, n.settings.MaxRelays),
+		waiting:   make(map[uint64]chan *snipewire.Control),
+	}
+}
+
+// start runs the loops of an installed session.
+func (s *session) start() {
+	loops := []func(){s.writeLoop, s.readLoop, s.relayLoop, s.watch}
+	for _, loop := range loops {
+		if !s.node.spawn(loop) {
+			s.close("nodeClosed")
+			return
+		}
+	}
+}
+
+// close ends the session once and reports it.
+func (s *session) close(cause string) {
+	s.closeOnce.Do(func() {
+		s.cancel()
+		close(s.done)
+		_ = s.mux.Close()
+		n := s.node
+		n.mu.Lock()
+		if p := n.peers[s.peer.Address]; p != nil && p.session == s {
+			p.session = nil
+		}
+		n.mu.Unlock()
+		n.metrics.sessions.Dec()
+		n.metrics.closed.WithLabelValues(cause).Inc()
+		n.log.Info("session closed", zap.String("peer", s.peer.Address),
+			zap.Uint64("epoch", s.peer.Epoch), zap.String("cause", cause))
+		n.events.push(Event{Kind: SessionDown, Peer: s.peer})
+	})
+}
+
+// fail closes the session because of err and counts an invalid frame.
+func (s *session) fail(err error) {
+	var inv *InvalidFrameError
+	if errors.As(err, &inv) {
+		_ = s.node.countInvalid(err)
+		s.close("invalidFrame")
+		return
+	}
+	s.close("lost")
+}
+
+// watch closes the session when yamux ends it, for example after a ping
+// without an answer.
+func (s *session) watch() {
+	select {
+	case <-s.mux.CloseChan():
+		s.close("lost")
+	case <-s.done:
+	}
+}
+
+func (s *session) writeLoop() {
+	for {
+		select {
+		case <-s.done:
+			return
+		case c := <-s.out:
+			if err := writeMessage(s.control, s.node.settings.MaxControlBytes, c); err != nil {
+				var inv *InvalidFrameError
+				if errors.As(err, &inv) {
+					s.node.log.Error("control message is too large to send", zap.Error(err))
+					continue
+				}
+				s.fail(err)
+				return
+			}
+		}
+	}
+}
+
+func (s *session) readLoop() {
+	for {
+		c := &snipewire.Control{}
+		if err := readMessage(s.control, s.node.settings.MaxControlBytes, c); err != nil {
+			s.fail(err)
+			return
+		}
+		if err := s.dispatch(c); err != nil {
+			s.fail(err)
+			return
+		}
+	}
+}
+
+func (s *session) dispatch(c *snipewire.Control) error {
+	if c.GetReply() {
+		s.deliver(c)
+		return nil
+	}
+	m := unwrap(c)
+	if m == nil {
+		return invalid(ReasonUnknownKind, "control message without a known body")
+	}
+	kind := m.ProtoReflect().Descriptor().FullName()
+	if c.GetCallId() == 0 {
+		h := s.node.sends[kind]
+		if h == nil {
+			return invalid(ReasonUnknownKind, "no handler for message %s", kind)
+		}
+		h(s.peer, m)
+		return nil
+	}
+	h := s.node.calls[kind]
+	if h == nil {
+		return invalid(ReasonUnknownKind, "no handler for call %s", kind)
+	}
+	s.serveCall(c.GetCallId(), m, h)
+	return nil
+}
+
+func (s *session) serveCall(id uint64, m proto.Message, h callHandler) {
+	select {
+	case s.running <- struct{}{}:
+	default:
+		_ = s.enqueue(&snipewire.Control{CallId: id, Reply: true, Error: "too many calls at once"})
+		return
+	}
+	started := s.node.spawn(func() {
+		defer func() { <-s.running }()
+		_ = s.enqueue(answerCall(s.ctx, s.peer, id, m, h))
+	})
+	if !started {
+		<-s.running
+	}
+}
+
+func answerCall(ctx context.Context, from Peer, id uint64, m proto.Message, h callHandler) *snipewire.Control {
+	reply, err := h(ctx, from, m)
+	if err != nil {
+		return &snipewire.Control{CallId: id, Reply: true, Error: err.Error()}
+	}
+	c, err := wrap(reply)
+	if err != nil {
+		return &snipewire.Control{CallId: id, Reply: true, Error: err.Error()}
+	}
+	c.CallId = id
+	c.Reply = true
+	return c
+}
+
+// enqueue queues c or drops and counts it.
+func (s *session) enqueue(c *snipewire.Control) error {
+	select {
+	case <-s.done:
+		s.node.metrics.dropped.Inc()
+		return fmt.Errorf("send to %s: %w", s.peer.Address, ErrNoSession)
+	default:
+	}
+	select {
+	case s.out <- c:
+		return nil
+	default:
+		s.node.metrics.dropped.Inc()
+		return fmt.Errorf("send to %s: %w", s.peer.Address, ErrQueueFull)
+	}
+}
+
+func (s *session) call(ctx context.Context, c *snipewire.Control) (proto.Message, error) {
+	reply := make(chan *snipewire.Control, 1)
+	s.mu.Lock()
+	s.nextCall++
+	id := s.nextCall
+	s.waiting[id] = reply
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		delete(s.waiting, id)
+		s.mu.Unlock()
+	}()
+	c.CallId = id
+	if err := s.enqueue(c); err != nil {
+		return nil, err
+	}
+	select {
+	case <-ctx.Done():
+		return nil, fmt.Errorf("call to %s: %w", s.peer.Address, ctx.Err())
+	case <-s.done:
+		return nil, fmt.Errorf("call to %s: %w", s.peer.Address, ErrSessionClosed)
+	case r := <-reply:
+		return openReply(r)
+	}
+}
+
+func openReply(r *snipewire.Control) (proto.Message, error) {
+	if r.GetError() != "" {
+		return nil, &RemoteError{Text: r.GetError()}
+	}
+	m := unwrap(r)
+	if m == nil {
+		return nil, &RemoteError{Text: "reply without a body"}
+	}
+	return m, nil
+}
+
+// deliver hands a reply to its caller; a late reply is ignored.
+func (s *session) deliver(c *snipewire.Control) {
+	s.mu.Lock()
+	reply := s.waiting[c.GetCallId()]
+	delete(s.waiting, c.GetCallId())
+	s.mu.Unlock()
+	if reply != nil {
+		reply <- c
+	}
+}
