--- a/sniperetry/policy.go
+++ b/sniperetry/policy.go
@@ -227,7 +227,13 @@
 		return Decision{Action: Finish, Outcome: Done}
 	case CallerGone:
 		return giveUp(e, ReasonCallerGone)
+	default:
+		return p.retry(now, e)
 	}
+}
+
+// retry decides about a failed attempt.
+func (p *Policy) retry(now snipetime.Instant, e Event) Decision {
 	if e.Class != Safe && e.Class != Idempotent && (e.Failure.Begun() || e.Began) {
 		return giveUp(e, e.Failure.Reason())
 	}
--- a/snipeslot/holder.go
+++ b/snipeslot/holder.go
@@ -85,20 +85,22 @@
 // Answer takes a reply. With Start the attempt may be sent to the target, and
 // Finish must follow. With Return the release is to be sent to the owner.
 func (h *Holder) Answer(now snipetime.Instant, r Reply) (Verdict, Release) {
+	if r.State == Granted {
+		return h.answerGrant(now, r)
+	}
 	p := h.pending[r.AttemptID]
-	switch r.State {
-	case Queued:
-		if p == nil {
-			return Ignore, Release{}
-		}
+	// A late reply of a former owner must not end a request to the present one.
+	if p == nil || r.Epoch != p.epoch {
+		return Ignore, Release{}
+	}
+	if r.State == Queued {
 		return Enqueued, Release{}
-	case Refused:
-		if p == nil {
-			return Ignore, Release{}
-		}
-		delete(h.pending, r.AttemptID)
-		return Refuse, Release{}
 	}
+	delete(h.pending, r.AttemptID)
+	return Refuse, Release{}
+}
+
+func (h *Holder) answerGrant(now snipetime.Instant, r Reply) (Verdict, Release) {
 	if run := h.running[r.AttemptID]; run != nil && run.GrantID == r.GrantID {
 		return Ignore, Release{}
 	}
@@ -106,9 +108,10 @@
 		Group: r.Group, AttemptID: r.AttemptID, From: h.self,
 		GrantID: r.GrantID, Target: r.Target, Outcome: OutcomeCancelled,
 	}
-	// A grant of an earlier epoch is unknown to the present owner, which has
-	// this member's report already.
-	if p == nil || uint32(r.GrantID>>32) != uint32(p.epoch) {
+	// A grant of an earlier epoch is unknown to the present owner, which may
+	// have this member's report already.
+	p := h.pending[r.AttemptID]
+	if p == nil || r.Epoch != p.epoch {
 		return Return, release
 	}
 	delete(h.pending, r.AttemptID)
--- a/snipeslot/messages.go
+++ b/snipeslot/messages.go
@@ -70,7 +70,10 @@
 	Group, AttemptID string
 	To               Member
 	State            State
-	// GrantID carries the low 32 bits of the owner's epoch in its upper half.
+	// Epoch of the owner that replies.
+	Epoch uint64
+	// GrantID is unique within the group. It carries the low 32 bits of the
+	// owner's epoch in its upper half.
 	GrantID uint64
 	Target  string
 	// TimeToLive counts from the moment at which the Acquire was sent. It
--- a/snipeslot/owner.go
+++ b/snipeslot/owner.go
@@ -157,13 +157,12 @@
 		return o.reply(a, Refused, reason, 0)
 	}
 	e := &entry{acquire: a, arrived: now, deadline: now.Add(a.Budget), giveUp: now.Add(min(a.Budget, a.MaximumWait))}
-	at := o.queue.position(e.deadline)
-	if at == 0 || o.freeSlots() > 0 {
-		if r, ok := o.tryGrant(now, e); ok {
-			return r
-		}
+	// Queued requests with an earlier deadline cannot use a slot that is free
+	// now, or they would have been granted it.
+	if r, ok := o.tryGrant(now, e); ok {
+		return r
 	}
-	return o.enqueue(now, e, at)
+	return o.enqueue(now, e, o.queue.position(e.deadline))
 }
 
 // unusable returns why the group cannot serve the request at all.
@@ -228,7 +227,10 @@
 }
 
 func (o *Owner) reply(a Acquire, s State, reason Reason, after time.Duration) Reply {
-	return Reply{Group: o.settings.Group, AttemptID: a.AttemptID, To: a.From, State: s, Reason: reason, RetryAfter: after}
+	return Reply{
+		Group: o.settings.Group, AttemptID: a.AttemptID, To: a.From, Epoch: o.settings.Epoch,
+		State: s, Reason: reason, RetryAfter: after,
+	}
 }
 
 // tryGrant grants a free slot that the entry does not exclude.
