--- a/sniperoute/chooser.go
+++ b/sniperoute/chooser.go
@@ -110,6 +110,7 @@
 	random   *rand.Rand
 	targets  map[string]*targetState
 	scratch  []float64
+	median   float64 // of the targets' latencies, in nanoseconds
 }
 
 // NewChooser returns a chooser without targets. It panics if random is nil.
@@ -165,20 +166,28 @@
 	return second
 }
 
-// pick returns a uniformly random index other than skip among the permitted
-// candidates, or -1 (reservoir sampling).
+// pick returns a random index other than skip among the permitted candidates,
+// or -1. Random tries keep the cost independent of the number of candidates
+// while most are permitted; the scan after them finds the rest.
 func (c *Chooser) pick(now snipetime.Instant, free []Candidate, skip int) int {
-	chosen, seen := -1, 0
-	for i := range free {
-		if i == skip || !c.permits(now, &free[i]) {
-			continue
+	const tries = 4
+	if len(free) == 0 {
+		return -1
+	}
+	at := 0
+	for range tries {
+		at = c.random.IntN(len(free))
+		if at != skip && c.permits(now, &free[at]) {
+			return at
 		}
-		seen++
-		if seen == 1 || c.random.IntN(seen) == 0 {
-			chosen = i
+	}
+	for range free {
+		at = (at + 1) % len(free)
+		if at != skip && c.permits(now, &free[at]) {
+			return at
 		}
 	}
-	return chosen
+	return -1
 }
 
 // permits reports whether the target is in use and below its slow-start share,
@@ -280,20 +289,25 @@
 }
 
 // slow reports whether the latency of t is an outlier against the median of the
-// other targets that have enough samples.
+// targets that had enough samples at the last Tick.
 func (c *Chooser) slow(t *targetState) bool {
+	return c.median > 0 && t.latency > c.settings.LatencyFactor*c.median
+}
+
+// updateMedian takes the lower median, so that the slower of two targets can be
+// an outlier and a single one cannot.
+func (c *Chooser) updateMedian() {
 	c.scratch = c.scratch[:0]
-	for _, o := range c.targets {
-		if o != t && o.samples >= c.settings.MinimumSamples && o.latency > 0 {
-			c.scratch = append(c.scratch, o.latency)
+	for _, t := range c.targets {
+		if t.samples >= c.settings.MinimumSamples && t.latency > 0 {
+			c.scratch = append(c.scratch, t.latency)
 		}
 	}
-	if len(c.scratch) == 0 {
-		return false
+	c.median = 0
+	if len(c.scratch) > 0 {
+		slices.Sort(c.scratch)
+		c.median = c.scratch[(len(c.scratch)-1)/2]
 	}
-	slices.Sort(c.scratch)
-	median := c.scratch[len(c.scratch)/2]
-	return t.latency > c.settings.LatencyFactor*median
 }
 
 // eject takes t out of use unless half of the targets are ejected already.
@@ -321,9 +335,12 @@
 	return n
 }
 
-// Tick returns targets whose ejection has ended, with a slow start and without
-// the samples that ejected them. A fresh unhealthy probe prolongs an ejection.
+// Tick updates the group's median latency and returns targets whose ejection
+// has ended, with a slow start and without the samples that ejected them. A
+// fresh unhealthy probe prolongs an ejection. It is to be called at least once
+// a second.
 func (c *Chooser) Tick(now snipetime.Instant) {
+	c.updateMedian()
 	for _, t := range c.targets {
 		if !t.ejected || now.Before(t.ejectedTill) {
 			continue
--- a/sniperoute/planner.go
+++ b/sniperoute/planner.go
@@ -302,6 +302,19 @@
 	if homePending {
 		buffer = p.add(buffer, i, i)
 	}
+	if len(buffer) == start {
+		// Neither the home place nor the drawn weights gave a place. The nearest
+		// ones are tried, since their owners refuse what they cannot serve.
+		buffer = p.addNearest(buffer, plan, i)
+	}
+	return buffer
+}
+
+func (p *Planner) addNearest(buffer []PlaceCandidate, plan *homePlan, home int) []PlaceCandidate {
+	const nearest = 2
+	for _, o := range plan.others[:min(nearest, len(plan.others))] {
+		buffer = p.add(buffer, home, int(o))
+	}
 	return buffer
 }
 
--- a/sniperoute/sniperoute_test.go
+++ b/sniperoute/sniperoute_test.go
@@ -82,3 +82,86 @@
 		}
 	}
 }
+
+// Guards against an empty plan while a usable place exists.
+func TestPlanNeverEmpty(t *testing.T) {
+	p := sniperoute.NewPlanner(sniperoute.PlannerSettings{}, "r", seeded(3))
+	places := []sniperoute.Place{
+		{Name: "a", Region: "r", Drained: true},
+		{Name: "b", Region: "r"},
+		{Name: "c", Region: "far"},
+		{Name: "d", Region: "s", Instances: 1},
+	}
+	if err := p.SetPlaces(places, flat); err != nil {
+		t.Fatal(err)
+	}
+	for step := range 100 {
+		now := snipetime.Instant(step) * snipetime.Instant(3*time.Second)
+		for _, pl := range places {
+			p.Report(now, pl.Name, sniperoute.Load{Total: 4, Queued: 1})
+		}
+		plan := p.Plan("a", make([]sniperoute.PlaceCandidate, 0, 4))
+		if len(plan) == 0 {
+			t.Fatal("no candidate")
+		}
+		for _, c := range plan {
+			if c.Place == "a" || c.Place == "c" {
+				t.Errorf("unusable place %s in the plan", c.Place)
+			}
+			if !c.NeedsShift || c.NeedsLink != (c.Region != "r") {
+				t.Errorf("wrong flags: %+v", c)
+			}
+		}
+	}
+}
+
+// Guards against a slow target that keeps its share, against a return without
+// slow start, and against a lasting ejection.
+func TestLatencyEjection(t *testing.T) {
+	c := sniperoute.NewChooser(sniperoute.ChooserSettings{}, seeded(1))
+	addresses := []string{"a", "b", "c"}
+	c.SetTargets(0, addresses, nil)
+	for range 100 {
+		c.Tick(0)
+		c.Observe(0, "a", sniperoute.Completed, 10*time.Millisecond)
+		c.Observe(0, "b", sniperoute.Completed, 12*time.Millisecond)
+		c.Observe(0, "c", sniperoute.Completed, 100*time.Millisecond)
+	}
+	if c.Ejected() != 1 || c.Weight(0, "c") != 0 {
+		t.Fatalf("%d ejected, weight of c %v", c.Ejected(), c.Weight(0, "c"))
+	}
+	back := snipetime.Instant(sniperoute.DefaultEjection)
+	c.Tick(back)
+	if w := c.Weight(back, "c"); w <= 0 || w > 0.5 {
+		t.Errorf("weight %v after the ejection", w)
+	}
+}
+
+// Guards against a relay to a leaving, excluded or failing instance while
+// another one is there.
+func TestRelays(t *testing.T) {
+	r := sniperoute.NewRelays(seeded(5))
+	r.SetInstances([]sniperoute.Relay{
+		{Address: "1", Place: "p", Region: "r"},
+		{Address: "2", Place: "q", Region: "r"},
+		{Address: "3", Place: "p", Region: "r", Leaving: true},
+	})
+	for range 200 {
+		if got, ok := r.Choose("r", "p", "1"); !ok || got != "2" {
+			t.Fatalf("chose %q, want 2", got)
+		}
+	}
+	if _, ok := r.Choose("s", "p", ""); ok {
+		t.Error("chose an instance of a region without any")
+	}
+	r.Started("1")
+	r.Finished("1", false, 0)
+	chosen := map[string]int{}
+	for range 400 {
+		got, _ := r.Choose("r", "p", "")
+		chosen[got]++
+	}
+	if chosen["1"] >= chosen["2"] {
+		t.Errorf("a failing instance is preferred: %v", chosen)
+	}
+}
--- /dev/null
+++ b/snipeslot/owner_test.go
@@ -0,0 +1,243 @@
+package snipeslot
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/snipemoor/snipemoor/sniperoute"
+	"github.com/snipemoor/snipemoor/snipetime"
+)
+
+var tester = Member{Address: "t", Incarnation: "1"}
+
+// readyOwner returns an owner that has recovered and keeps its lease.
+func readyOwner(targets ...Target) *Owner {
+	chooser := sniperoute.NewChooser(sniperoute.ChooserSettings{}, rand.New(rand.NewPCG(1, 2)))
+	o := NewOwner(Settings{Group: modelGroup, Epoch: 1}, chooser, 0)
+	o.SetLease(1 << 62)
+	o.Configure(0, targets)
+	o.SetMembers(0, []Member{tester})
+	o.Renew(0, Renew{Group: modelGroup, From: tester, Epoch: 1, Sequence: 1})
+	return o
+}
+
+func request(id string, budget, wait time.Duration) Acquire {
+	return Acquire{Group: modelGroup, AttemptID: id, From: tester, Budget: budget, MaximumWait: wait}
+}
+
+func releaseOf(r Reply, o Outcome) Release {
+	return Release{Group: r.Group, AttemptID: r.AttemptID, From: r.To, GrantID: r.GrantID, Target: r.Target, Outcome: o}
+}
+
+// Guards against a slot that stays taken after a lost reply or a lost release.
+func TestLostMessagesFreeSlot(t *testing.T) {
+	o := readyOwner(Target{Address: "x", Slots: 1})
+	if r := o.Acquire(0, request("lost", time.Minute, 0)); r.State != Granted {
+		t.Fatalf("no grant: %+v", r)
+	}
+	ttl := snipetime.Instant(DefaultTimeToLive)
+	o.Tick(ttl - 1)
+	if r := o.Acquire(ttl-1, request("early", time.Minute, 0)); r.Reason != ReasonNoSlot {
+		t.Errorf("before the time to live: %+v", r)
+	}
+	o.Tick(ttl)
+	r := o.Acquire(ttl, request("next", time.Minute, 0))
+	if r.State != Granted {
+		t.Fatalf("after the time to live: %+v", r)
+	}
+	list := Renew{Group: modelGroup, From: tester, Epoch: 1, Sequence: 2, Attempts: []Running{{"next", r.GrantID, "x"}}}
+	if reply, _ := o.Renew(ttl, list); !reply.Accepted || len(reply.Unknown) > 0 {
+		t.Errorf("renewal: %+v", reply)
+	}
+	list.Sequence, list.Attempts = 3, nil
+	o.Renew(ttl, list)
+	if !o.Idle("x") {
+		t.Error("a slot stays taken after the attempt left the list")
+	}
+}
+
+// Guards against late refusals: a request that would miss its deadline is
+// refused at once, and one that would not is queued.
+func TestWouldMissDeadline(t *testing.T) {
+	o := readyOwner(Target{Address: "x", Slots: 1})
+	first := o.Acquire(0, request("first", time.Second, 0))
+	now := snipetime.Instant(10 * time.Millisecond)
+	o.Release(now, releaseOf(first, OutcomeDone))
+	o.Acquire(now, request("busy", time.Second, 0))
+	for i := range 5 {
+		wait := time.Duration(i+1) * 10 * time.Millisecond
+		if r := o.Acquire(now, request(fmt.Sprint("m", i), wait, wait)); r.Reason != ReasonWouldMissDeadline {
+			t.Errorf("%d ahead, budget %v: %+v", i, wait, r)
+		}
+		if r := o.Acquire(now, request(fmt.Sprint("q", i), wait+1, time.Second)); r.State != Queued {
+			t.Errorf("%d ahead, budget %v: %+v", i, wait+1, r)
+		}
+	}
+}
+
+// Guards against grants past the deadline, service out of deadline order and
+// idle slots beside a queue, at 1.5 times the capacity.
+func TestOverload(t *testing.T) {
+	const seed = 11
+	random := rand.New(rand.NewPCG(seed, 0))
+	o := readyOwner(Target{Address: "x", Slots: 2}, Target{Address: "y", Slots: 2})
+	type job struct {
+		reply Reply
+		end   snipetime.Instant
+	}
+	var jobs []job
+	deadlines := map[string]snipetime.Instant{}
+	granted, early, late := 0, 0, 0
+	start := func(now snipetime.Instant, replies []Reply) {
+		for _, r := range replies {
+			if r.State == Refused {
+				late++
+				continue
+			}
+			granted++
+			if !now.Before(deadlines[r.AttemptID]) {
+				t.Fatalf("seed %d: %s granted at %v past its deadline", seed, r.AttemptID, now)
+			}
+			for _, e := range o.queue.entries {
+				if e.deadline.Before(deadlines[r.AttemptID]) {
+					t.Fatalf("seed %d: %s granted before an earlier deadline", seed, r.AttemptID)
+				}
+			}
+			jobs = append(jobs, job{r, now.Add(time.Duration(random.ExpFloat64() * float64(10*time.Millisecond)))})
+		}
+	}
+	for i := range 20000 {
+		now := snipetime.Instant(i) * snipetime.Instant(time.Millisecond)
+		rest := jobs[:0:0]
+		done := []job{}
+		for _, j := range jobs {
+			if j.end.After(now) {
+				rest = append(rest, j)
+			} else {
+				done = append(done, j)
+			}
+		}
+		jobs = rest
+		for _, j := range done {
+			start(now, o.Release(now, releaseOf(j.reply, OutcomeDone)))
+		}
+		start(now, o.Tick(now))
+		if random.Float64() < 0.6 { // 600/s against 4 slots of 10 ms
+			id := fmt.Sprint(i)
+			budget := time.Duration(20+random.IntN(80)) * time.Millisecond
+			deadlines[id] = now.Add(budget)
+			switch r := o.Acquire(now, request(id, budget, budget)); r.State {
+			case Granted:
+				start(now, []Reply{r})
+			case Refused:
+				early++
+			}
+		}
+		if l := o.Load(); l.Queued > 0 && l.Free > 0 {
+			t.Fatalf("seed %d: %d free slots beside a queue of %d", seed, l.Free, l.Queued)
+		}
+	}
+	t.Logf("seed %d: %d granted, %d refused at once, %d refused in the queue", seed, granted, early, late)
+	if granted == 0 || early == 0 {
+		t.Error("the test does not reach both results")
+	}
+}
+
+// Guards against a herd at the targets: with probe reports that lag 2 s, no
+// target is idle or full over any period of 2 s at 60 % of the capacity.
+func TestTargetsDoNotSwing(t *testing.T) {
+	const (
+		seed   = 5
+		slots  = 4
+		window = 2000
+	)
+	random := rand.New(rand.NewPCG(seed, 0))
+	names := []string{"a", "b", "c", "d"}
+	var targets []Target
+	for _, n := range names {
+		targets = append(targets, Target{Address: n, Slots: slots})
+	}
+	o := readyOwner(targets...)
+	chooser := o.chooser.(*sniperoute.Chooser)
+	ends := map[int][]Release{}
+	sum, used := map[string]int{}, map[string][]int{}
+	for i := range 60000 { // milliseconds
+		now := snipetime.Instant(i) * snipetime.Instant(time.Millisecond)
+		for _, r := range ends[i] {
+			o.Release(now, r)
+		}
+		delete(ends, i)
+		if random.Float64() < 0.6*slots*4/20 {
+			if r := o.Acquire(now, request(fmt.Sprint(i), time.Second, 0)); r.State == Granted {
+				end := i + 1 + int(random.ExpFloat64()*20)
+				release := releaseOf(r, OutcomeDone)
+				release.Latency = time.Duration(end-i) * time.Millisecond
+				ends[end] = append(ends[end], release)
+			}
+		}
+		for _, n := range names {
+			used[n] = append(used[n], o.targets[n].used)
+			sum[n] += o.targets[n].used
+			if i > window {
+				sum[n] -= used[n][i-window]
+				mean := float64(sum[n]) / window / slots
+				if mean < 0.1 || mean > 0.95 {
+					t.Fatalf("seed %d: target %s is %.0f %% busy at %d ms", seed, n, 100*mean, i)
+				}
+			}
+			if i > window && i%500 == 0 {
+				chooser.Probe(now, n, sniperoute.Probe{Healthy: true, Queued: used[n][i-window] / 2})
+			}
+		}
+		if i%100 == 0 {
+			o.Tick(now)
+		}
+	}
+}
+
+// Guards against groups above the bound, lost targets and groups that change
+// with the order of the addresses.
+func TestSplit(t *testing.T) {
+	for n := range 70 {
+		var addresses []string
+		for i := range n {
+			addresses = append(addresses, fmt.Sprintf("10.0.0.%d:80", i))
+		}
+		parts := Split(addresses)
+		rand.New(rand.NewPCG(uint64(n), 0)).Shuffle(n, func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+		if got := Split(addresses); fmt.Sprint(got) != fmt.Sprint(parts) {
+			t.Errorf("%d targets: the order changes the groups", n)
+		}
+		seen := map[string]bool{}
+		for _, p := range parts {
+			if len(p) > MaximumGroupTargets {
+				t.Errorf("%d targets: group of %d", n, len(p))
+			}
+			for _, a := range p {
+				seen[a] = true
+			}
+		}
+		if len(seen) != n || len(parts) != (n+15)/16 {
+			t.Errorf("%d targets: %d in %d groups", n, len(seen), len(parts))
+		}
+	}
+}
+
+func BenchmarkAcquireRelease(b *testing.B) {
+	for _, n := range []int{4, 16} {
+		b.Run(fmt.Sprint("targets=", n), func(b *testing.B) {
+			var targets []Target
+			for i := range n {
+				targets = append(targets, Target{Address: fmt.Sprint(i), Slots: 4})
+			}
+			o := readyOwner(targets...)
+			a := request("a", time.Second, 0)
+			b.ReportAllocs()
+			for b.Loop() {
+				o.Release(0, releaseOf(o.Acquire(0, a), OutcomeDone))
+			}
+		})
+	}
+}
