--- /dev/null
+++ b/snipemeasure/project.go
@@ -0,0 +1,222 @@
+package snipemeasure
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/snipemoor/snipemoor/sniperetry"
+	"github.com/snipemoor/snipemoor/sniperoute"
+	"github.com/snipemoor/snipemoor/snipeslot"
+)
+
+const (
+	heartbeat     = 500 * time.Millisecond
+	ownerTick     = 50 * time.Millisecond
+	maximumPlaces = 4 // places that one request tries
+)
+
+// project drives the decision code of this repository. A request asks the
+// owners of its planned places for a free slot in turn, and if there is none it
+// queues at the one with the shortest expected wait.
+type project struct {
+	m        *model
+	owners   []*snipeslot.Owner
+	choosers []*sniperoute.Chooser
+	planners []*sniperoute.Planner
+	retries  []*sniperetry.Policy
+	places   map[string]int
+	calls    map[string]*call
+	calling  int
+	self     snipeslot.Member
+}
+
+// call is a request of the project's policy.
+type call struct {
+	*request
+	attempts int
+	plan     []sniperoute.PlaceCandidate
+	tried    int
+	best     int // place with the shortest expected wait
+	bestWait time.Duration
+	queueing bool
+}
+
+func newProject(m *model, seed uint64) (*project, error) {
+	s := m.settings
+	p := &project{
+		m: m, places: map[string]int{}, calls: map[string]*call{},
+		self: snipeslot.Member{Address: "entry", Incarnation: "1"},
+	}
+	var places []sniperoute.Place
+	for i := range s.Places {
+		name := fmt.Sprint("place-", i)
+		p.places[name] = i
+		places = append(places, sniperoute.Place{Name: name, FailureDomain: name, Region: "region", Instances: 1})
+		chooser := sniperoute.NewChooser(sniperoute.ChooserSettings{}, rand.New(rand.NewPCG(seed, uint64(i))))
+		settings := snipeslot.Settings{Group: name, Epoch: 1}
+		owner := snipeslot.NewOwner(settings, chooser, 0)
+		owner.SetLease(1 << 62)
+		owner.SetMembers(0, []snipeslot.Member{p.self})
+		owner.Renew(0, snipeslot.Renew{Group: name, From: p.self, Epoch: 1, Sequence: 1})
+		p.choosers = append(p.choosers, chooser)
+		p.owners = append(p.owners, owner)
+	}
+	p.configure()
+	delay := func(string, string) time.Duration { return s.ControlDelay }
+	for i := range s.Entries {
+		random := rand.New(rand.NewPCG(seed+1, uint64(i)))
+		planner := sniperoute.NewPlanner(sniperoute.PlannerSettings{}, "region", random)
+		if err := planner.SetPlaces(places, delay); err != nil {
+			return nil, fmt.Errorf("places of the model: %w", err)
+		}
+		p.planners = append(p.planners, planner)
+		p.retries = append(p.retries, sniperetry.NewPolicy(sniperetry.Settings{}, random, 0))
+	}
+	m.every(ownerTick, func() {
+		for i, o := range p.owners {
+			p.answerAll(i, o.Tick(m.now))
+		}
+	})
+	m.every(heartbeat, p.report)
+	return p, nil
+}
+
+func address(index int) string { return strconv.Itoa(index) }
+
+// configure passes the targets to the owners.
+func (p *project) configure() {
+	targets := make([][]snipeslot.Target, len(p.owners))
+	for _, b := range p.m.backends {
+		targets[b.place] = append(targets[b.place], snipeslot.Target{Address: address(b.index), Slots: b.slots, Draining: b.draining})
+	}
+	for i, o := range p.owners {
+		p.answerAll(i, o.Configure(p.m.now, targets[i]))
+	}
+}
+
+func (p *project) change() {
+	switch p.m.scenario {
+	case Drained:
+		p.configure()
+	case Cold:
+		b := p.m.changed()
+		p.choosers[b.place].SetCold(p.m.now, address(b.index))
+	default:
+	}
+}
+
+// report sends the owners' load to all planners; it arrives one heartbeat later.
+func (p *project) report() {
+	for i, o := range p.owners {
+		l := o.Load()
+		load := sniperoute.Load{Free: l.Free, Total: l.Total, Queued: l.Queued, Age: heartbeat}
+		p.m.after(heartbeat, func() {
+			for _, planner := range p.planners {
+				planner.Report(p.m.now, placeName(i), load)
+			}
+		})
+	}
+}
+
+func placeName(i int) string { return fmt.Sprint("place-", i) }
+
+func (p *project) arrive(r *request) {
+	p.retries[r.entry].FirstAttempt(p.m.now)
+	p.start(&call{request: r})
+}
+
+// start begins an attempt with a new plan.
+func (p *project) start(c *call) {
+	c.attempts++
+	c.tried, c.queueing, c.bestWait = 0, false, 1<<62
+	buffer := make([]sniperoute.PlaceCandidate, 0, maximumPlaces)
+	c.plan = p.planners[c.entry].Plan(placeName(c.place), buffer)
+	p.acquire(c)
+}
+
+// acquire asks the next place for a free slot, or queues when all were asked.
+func (p *project) acquire(c *call) {
+	remaining := p.m.settings.Timeout - p.m.now.Sub(c.arrived)
+	a := snipeslot.Acquire{From: p.self, Budget: remaining}
+	place := c.best
+	if c.tried < len(c.plan) {
+		place = p.places[c.plan[c.tried].Place]
+		c.tried++
+	} else {
+		c.queueing = true
+		a.MaximumWait = remaining
+	}
+	p.calling++
+	a.AttemptID = strconv.Itoa(p.calling)
+	p.calls[a.AttemptID] = c
+	p.m.after(p.m.settings.ControlDelay, func() {
+		p.answer(place, p.owners[place].Acquire(p.m.now, a))
+	})
+}
+
+func (p *project) answerAll(place int, replies []snipeslot.Reply) {
+	for _, r := range replies {
+		p.answer(place, r)
+	}
+}
+
+// answer carries a reply to its entry instance.
+func (p *project) answer(place int, r snipeslot.Reply) {
+	c := p.calls[r.AttemptID]
+	if r.State == snipeslot.Queued || c == nil {
+		return
+	}
+	delete(p.calls, r.AttemptID)
+	p.m.after(p.m.settings.ControlDelay, func() {
+		if r.State == snipeslot.Refused {
+			p.refused(c, place, r)
+			return
+		}
+		p.run(c, place, r)
+	})
+}
+
+func (p *project) refused(c *call, place int, r snipeslot.Reply) {
+	if !c.queueing {
+		if r.RetryAfter < c.bestWait {
+			c.best, c.bestWait = place, r.RetryAfter
+		}
+		p.acquire(c)
+		return
+	}
+	d := p.retries[c.entry].Decide(p.m.now, sniperetry.Event{
+		Class: sniperetry.Safe, Failure: sniperetry.NoSlot, Attempts: c.attempts,
+		Deadline: c.arrived.Add(p.m.settings.Timeout), RetryAfter: r.RetryAfter,
+	})
+	if d.Action != sniperetry.Retry {
+		p.m.refuse()
+		return
+	}
+	p.m.cell.Retries++
+	p.m.after(d.Delay, func() { p.start(c) })
+}
+
+// run sends the attempt to its target. The target has a free slot, unless the
+// owner broke its bound.
+func (p *project) run(c *call, place int, r snipeslot.Reply) {
+	index, err := strconv.Atoi(r.Target)
+	if err != nil {
+		panic("snipemeasure: grant for an unknown target: " + r.Target)
+	}
+	b := p.m.backends[index]
+	if b.busy >= b.slots {
+		p.m.cell.Overloads++
+	}
+	c.complete = func(service time.Duration) {
+		p.m.finish(c.request)
+		p.m.after(p.m.settings.ControlDelay, func() {
+			p.answerAll(place, p.owners[place].Release(p.m.now, snipeslot.Release{
+				Group: r.Group, AttemptID: r.AttemptID, From: p.self, GrantID: r.GrantID, Target: r.Target,
+				Latency: service, Outcome: snipeslot.OutcomeDone,
+			}))
+		})
+	}
+	p.m.submit(b, c.request)
+}
