--- a/snipelease/config.go
+++ b/snipelease/config.go
@@ -9,7 +9,9 @@
 	claimStagger        = 500 * time.Millisecond
 	vouchInterval       = 500 * time.Millisecond
 	consentInterval     = time.Second
-	membershipSettle    = 5 * time.Second
+	// maxConsentRounds bounds the requests whose late replies still count.
+	maxConsentRounds = 8
+	membershipSettle = 5 * time.Second
 	// maxReadFactor bounds the read interval of members that rank low for a
 	// position, so that the reads of a region do not grow with its members.
 	maxReadFactor = 16
--- a/snipelease/manager.go
+++ b/snipelease/manager.go
@@ -17,6 +17,7 @@
 	nextID    uint64
 
 	members       []string
+	membersKnown  bool
 	membersSince  snipetime.Instant
 	lastStoreOK   snipetime.Instant
 	storeAnswered bool
@@ -102,8 +103,10 @@
 }
 
 // SetMembers sets the peer addresses of the live members of the region. The
-// instance itself is always a member.
+// instance itself is always a member. Before the first call only positions of
+// the own address are claimed.
 func (m *Manager) SetMembers(now snipetime.Instant, addresses []string) {
+	m.membersKnown = true
 	next := append(slices.Clone(addresses), m.cfg.Address)
 	slices.Sort(next)
 	next = slices.Compact(next)
--- a/snipelease/manager_test.go
+++ b/snipelease/manager_test.go
@@ -1,10 +1,13 @@
 package snipelease
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/snipemoor/snipemoor/snipetime"
 )
 
 // Guards against two valid leases for one position under any mix of faults.
@@ -13,8 +16,9 @@
 		w := newWorld(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(4, 6).Draw(t, "instances"), 0)
 		w.loss = rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "loss")
 		w.maxDelay = rapid.SampledFrom([]time.Duration{time.Millisecond, 300 * time.Millisecond, 4 * time.Second}).Draw(t, "delay")
+		gaps := []time.Duration{step, time.Second, 5 * time.Second, 11 * time.Second, 24 * time.Second}
 		for range rapid.IntRange(1, 25).Draw(t, "faults") {
-			if err := w.run(time.Duration(rapid.IntRange(0, 24).Draw(t, "seconds")) * time.Second); err != nil {
+			if err := w.run(rapid.SampledFrom(gaps).Draw(t, "gap")); err != nil {
 				t.Fatal(err)
 			}
 			w.fault(rapid.IntRange(0, 9).Draw(t, "fault"), rapid.IntRange(0, len(w.nodes)-1).Draw(t, "node"))
@@ -156,8 +160,9 @@
 	w.restart(1, false)
 	expect("restart at the same address", time.Second)
 	w.nodes[2].gone = true
+	w.nodes[3].gone = true
 	w.setMembers()
-	expect("instance lost", 27*time.Second)
+	expect("half of the instances lost at once", 30*time.Second)
 	w.nodes[0].m.Release(w.local(w.nodes[0]))
 	w.nodes[0].m.LoansEnded(w.local(w.nodes[0]))
 	w.setMembers()
@@ -168,3 +173,76 @@
 		t.Error("positions are not freed 2 s after the loans have ended")
 	}
 }
+
+// Guards against a voucher that counts a position whose predecessor can have
+// consented to the end of the epoch: the record must be read after the
+// acquisition.
+func TestVoucherNeedsLaterRead(t *testing.T) {
+	w := newWorld(5, 4, 0)
+	if err := w.run(20 * time.Second); err != nil {
+		t.Fatal(err)
+	}
+	held, _ := w.held()
+	if held != testPositions {
+		t.Fatalf("%d positions held after the start", held)
+	}
+	m, now := w.nodes[0].m, w.local(w.nodes[0])
+	own := m.Held(now)[0].Index
+	other := (own + 1) % testPositions
+	request := VouchRequest{Index: other, Epoch: m.positions[other].record.Epoch}
+	m.positions[own].since = m.positions[other].readSent + 1
+	if r := m.giveVoucher(request, now); r.Granted {
+		t.Error("voucher granted for a record read before the acquisition")
+	}
+	m.positions[own].since--
+	if r := m.giveVoucher(request, now); !r.Granted {
+		t.Error("voucher refused for a record read after the acquisition")
+	}
+	m.giveConsent(ConsentRequest{Index: other, OldEpoch: request.Epoch, NewEpoch: request.Epoch + 1}, now)
+	if r := m.giveVoucher(request, now); r.Granted {
+		t.Error("voucher granted after consent")
+	}
+}
+
+// Guards against quorums that do not share a position.
+func TestQuorums(t *testing.T) {
+	for n := 1; n <= 24; n++ {
+		if VoucherQuorum(n)+ConsentQuorum(n) <= n {
+			t.Errorf("quorums of %d and %d of %d positions can be disjoint", VoucherQuorum(n), ConsentQuorum(n), n)
+		}
+	}
+}
+
+func ExampleManager() {
+	m := New(Config{Address: "10.0.0.1:7", Incarnation: "a1", Positions: 1}, 0)
+	m.SetMembers(0, nil)
+	read := m.Tick(0)[0].(ReadRecord)
+	m.StoreResult(0, StoreResult{RequestID: read.RequestID, Outcome: OutcomeRead})
+	sent := snipetime.Instant(time.Second)
+	write := m.Tick(sent)[0].(WriteRecord)
+	fmt.Println(write.IfVersion, write.Record.Epoch, m.Valid(0, sent))
+	m.StoreResult(sent+5, StoreResult{RequestID: write.RequestID, Outcome: OutcomeWritten, Version: 1})
+	fmt.Println(m.Held(sent + 5)[0].LeaseEnd.Sub(sent))
+	// Output:
+	// 0 1 false
+	// 10s
+}
+
+func BenchmarkTick(b *testing.B) {
+	for _, n := range []int{4, 12, 80} {
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			m := New(Config{Address: "10.0.0.0:7", Incarnation: "a1", Positions: 12}, 0)
+			var members []string
+			for i := range n {
+				members = append(members, fmt.Sprintf("10.0.0.%d:7", i))
+			}
+			m.SetMembers(0, members)
+			now := snipetime.Instant(0)
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(step)
+				m.Tick(now)
+			}
+		})
+	}
+}
--- a/snipelease/share.go
+++ b/snipelease/share.go
@@ -57,7 +57,7 @@
 			count++
 		}
 	}
-	return count < m.share()
+	return m.membersKnown && count < m.share()
 }
 
 // releaseSurplus releases the positions above the share for which this instance
--- a/snipelease/vouch.go
+++ b/snipelease/vouch.go
@@ -168,6 +168,9 @@
 	}
 	m.nextID++
 	p.claim.ids = append(p.claim.ids, m.nextID)
+	if len(p.claim.ids) > maxConsentRounds {
+		p.claim.ids = p.claim.ids[1:]
+	}
 	p.claim.asked = now
 	req := ConsentRequest{Index: i, OldEpoch: p.record.Epoch, NewEpoch: p.claim.epoch, RequestID: m.nextID}
 	actions := m.takeConsent(m.giveConsent(req, now), now)
--- a/snipelimit/ledger.go
+++ b/snipelimit/ledger.go
@@ -103,6 +103,9 @@
 		lent:      make(map[string]loan),
 		borrowed:  make(map[string]loan),
 	}
+	if p := limit.PreviousFraction; p > 0 && p < limit.Fraction {
+		b.units.old = []oldFraction{{fraction: p, until: now.Add(l.cfg.SplitSettle)}}
+	}
 	b.recompute()
 	l.accounts[limit.ID] = &account{
 		id: limit.ID, bucket: b,
--- a/snipelimit/types.go
+++ b/snipelimit/types.go
@@ -59,6 +59,11 @@
 	PerSecond float64
 	// Fraction is the part of the units that this region has, from 0 to 1.
 	Fraction float64
+	// PreviousFraction is the fraction before the last change of the split, or
+	// 0 if there was none. An instance that starts with this configuration uses
+	// the smaller of the two for SplitSettle, because others can still use the
+	// old split.
+	PreviousFraction float64
 	// Burst bounds what a bucket saves up.
 	Burst Burst
 	// Growth is the largest growth of the admitted rate of the whole limit, in
