--- a/snipelimit/ledger_test.go
+++ b/snipelimit/ledger_test.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -152,3 +154,26 @@
 		})
 	}
 }
+
+// Guards against tokens spent twice by concurrent callers.
+func TestConcurrentSpend(t *testing.T) {
+	l := New(Config{Incarnation: "a1", Positions: 1}, 0)
+	l.Configure(0, []Limit{{ID: "x", PerSecond: 1000, Fraction: 1, Burst: Burst{Duration: time.Second}}})
+	l.SetHoldings(0, []Holding{{LeaseEnd: never}})
+	b, _ := l.Bucket("x")
+	var spent atomic.Int64
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for range 500 {
+				if _, err := b.Spend(snipetime.Instant(time.Second), 1); err == nil {
+					spent.Add(1)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	if spent.Load() != 950 {
+		t.Errorf("%d spent, want 950", spent.Load())
+	}
+}
