--- a/snipemember/member_test.go
+++ b/snipemember/member_test.go
@@ -37,7 +37,6 @@
 	incarnation string
 	sequence    uint64
 	up          bool
-	diedAt      snipetime.Instant
 }
 
 type packet struct {
--- a/snipeonce/table.go
+++ b/snipeonce/table.go
@@ -36,11 +36,11 @@
 	// now is the latest instant of any call. Calls that waited for the lock
 	// may carry older instants; using the latest one keeps a window closed once
 	// a caller was told that it is.
-	now     snipetime.Instant
-	records map[RequestID]*record
-	expiry  expiryHeap
-	bytes   int
-	shut    bool
+	now      snipetime.Instant
+	records  map[RequestID]*record
+	expiry   expiryHeap
+	bytes    int
+	shut     bool
 	refused  closedSet
 	inherits map[string]*inheritance
 	notices  map[string]notice
