--- a/snipeconfig/decode.go
+++ b/snipeconfig/decode.go
@@ -145,7 +145,7 @@
 		value := out.Field(field.index)
 		switch value.Kind() {
 		case reflect.String, reflect.Slice, reflect.Map:
-			if value.Len() == 0 && !s.faultAt(join(path, name)) {
+			if value.Len() == 0 && !s.faulty[s.offset(join(path, name))] {
 				s.Faultf(join(path, name), "%s is empty", name)
 			}
 		default:
@@ -153,14 +153,6 @@
 	}
 }
 
-// faultAt reports whether a fault is recorded at the value with the given path.
-func (s *Source) faultAt(path string) bool {
-	line, column := s.position(s.offset(path))
-	return slices.ContainsFunc(s.faults, func(f Fault) bool {
-		return f.Line == line && f.Column == column
-	})
-}
-
 // key records the position of a member's key and reports whether the key
 // occurs for the first time in its object.
 func (s *Source) key(m *hujson.ObjectMember, path string, seen map[string]bool) (name string, fresh bool) {
--- a/snipeconfig/diff.go
+++ b/snipeconfig/diff.go
@@ -125,6 +125,10 @@
 			f.add(memberPath(path, field, name), name, member)
 		}
 	case []any:
+		if field == "links" {
+			f.addLinks(strings.TrimSuffix(path, field), v)
+			return
+		}
 		for _, member := range v {
 			f.elements[element{path, compact(member)}]++
 		}
@@ -133,6 +137,21 @@
 	}
 }
 
+// addLinks names each link by its regions, whose order has no meaning.
+func (f *flatDocument) addLinks(path string, links []any) {
+	for _, link := range links {
+		fields, _ := link.(map[string]any)
+		regions, _ := fields["regions"].([]any)
+		var names []string
+		for _, region := range regions {
+			names = append(names, compact(region))
+		}
+		slices.Sort(names)
+		delete(fields, "regions")
+		f.add(path+"link "+strings.Join(names, " - "), "", fields)
+	}
+}
+
 // memberPath returns the path of a member. Fields whose members have names of
 // their own are left out, because the noun of the member replaces them.
 func memberPath(path, field, name string) string {
--- a/snipeconfig/snipeconfig_test.go
+++ b/snipeconfig/snipeconfig_test.go
@@ -112,6 +112,18 @@
 	}
 }
 
+// Guards against fault handling whose cost grows with the square of the number
+// of faults, which would let one document stop a command or an instance.
+func TestManyFaults(t *testing.T) {
+	const count = 60_000
+	data := []byte(`{"kind": "team", "name": "x", "drainWindows": [` + strings.Repeat("\n{},", count) + `]}`)
+	_, err := snipeconfig.ParseDocument("many", data)
+	// Each window lacks start, end and a target or place; services are missing.
+	if faults, _ := snipeconfig.AsFaults(err); len(faults) != 3*count+1 {
+		t.Errorf("%d faults, want %d", len(faults), 3*count+1)
+	}
+}
+
 // Guards against a document set without fleet being reported as many missing
 // places, or being accepted.
 func TestMissingFleet(t *testing.T) {
--- a/snipeconfig/source.go
+++ b/snipeconfig/source.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/tailscale/hujson"
@@ -17,20 +18,28 @@
 // later checks can name line and column. It is not safe for concurrent use.
 type Source struct {
 	file    string
-	data    []byte
 	root    hujson.Value
 	valid   bool
 	offsets map[string]int
 	faults  Faults
+	// lines holds the offsets of the starts of lines after the first.
+	lines []int
+	// faulty holds the offsets of values with faults.
+	faulty map[int]bool
 }
 
 // newSource parses data to a syntax tree and records a fault if that fails.
 func newSource(file string, data []byte) *Source {
-	s := &Source{file: file, data: data, offsets: map[string]int{"": 0}}
+	s := &Source{file: file, offsets: map[string]int{"": 0}, faulty: map[int]bool{}}
 	if len(data) > MaxDocumentBytes {
 		s.addAt(0, fmt.Sprintf("document has %d bytes, more than %d", len(data), MaxDocumentBytes))
 		return s
 	}
+	for i, c := range data {
+		if c == '\n' {
+			s.lines = append(s.lines, i+1)
+		}
+	}
 	// The parser keeps parts of its input, and the caller may reuse data.
 	root, err := hujson.Parse(bytes.Clone(data))
 	if err != nil {
@@ -84,14 +93,16 @@
 
 func (s *Source) addAt(offset int, message string) {
 	line, column := s.position(offset)
+	s.faulty[offset] = true
 	s.faults = append(s.faults, Fault{File: s.file, Line: line, Column: column, Message: message})
 }
 
 func (s *Source) position(offset int) (line, column int) {
-	before := s.data[:min(offset, len(s.data))]
-	line = 1 + bytes.Count(before, []byte{'\n'})
-	column = len(before) - bytes.LastIndexByte(before, '\n')
-	return line, column
+	before, _ := slices.BinarySearch(s.lines, offset+1)
+	if before == 0 {
+		return 1, offset + 1
+	}
+	return before + 1, offset - s.lines[before-1] + 1
 }
 
 // syntaxFault takes line and column out of the text of a parser error, because
--- /dev/null
+++ b/snipestore/client_test.go
@@ -0,0 +1,241 @@
+package snipestore_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/snipemoor/snipemoor/snipestandin"
+	"github.com/snipemoor/snipemoor/snipestore"
+)
+
+func ExampleClient() {
+	store, stop := exampleStore()
+	defer stop()
+	client := snipestore.New(snipestore.Settings{Addresses: []string{store}})
+	defer client.Close()
+	ctx := context.Background()
+	version, err := client.Create(ctx, "greeting", []byte("hello"), "")
+	fmt.Println(version, err)
+	_, err = client.Create(ctx, "greeting", []byte("again"), "")
+	fmt.Println(errors.Is(err, snipestore.ErrConflict))
+	item, err := client.Get(ctx, "greeting")
+	fmt.Println(string(item.Value), err)
+	// Output:
+	// 1 <nil>
+	// true
+	// hello <nil>
+}
+
+// Guards against results that a caller cannot tell apart, above all a write
+// that may have taken effect and one that did not.
+func TestErrors(t *testing.T) {
+	ctx := context.Background()
+	put := func(c *snipestore.Client) error {
+		_, err := c.Create(ctx, "k/new", []byte("v"), "")
+		return err
+	}
+	get := func(c *snipestore.Client) error {
+		_, err := c.Get(ctx, "k/old")
+		return err
+	}
+	cases := []struct {
+		name   string
+		faults snipestandin.StoreFaults
+		call   func(*snipestore.Client) error
+		want   error
+		// written is whether the key exists afterwards.
+		written bool
+	}{
+		{name: "read", call: get},
+		{name: "conflict", call: func(c *snipestore.Client) error {
+			_, err := c.Create(ctx, "k/old", nil, "")
+			return err
+		}, want: snipestore.ErrConflict},
+		{name: "missing", call: func(c *snipestore.Client) error {
+			_, err := c.Get(ctx, "k/new")
+			return err
+		}, want: snipestore.ErrNotFound},
+		{name: "delete missing", call: func(c *snipestore.Client) error {
+			return c.Delete(ctx, "k/new", 3)
+		}, want: snipestore.ErrNotFound},
+		{name: "unknown lease", call: func(c *snipestore.Client) error {
+			return c.Renew(ctx, "none")
+		}, want: snipestore.ErrLeaseExpired},
+		{name: "put with unknown lease", call: func(c *snipestore.Client) error {
+			_, err := c.Create(ctx, "k/new", nil, "none")
+			return err
+		}, want: snipestore.ErrLeaseExpired},
+		{name: "large value", call: func(c *snipestore.Client) error {
+			_, err := c.Create(ctx, "k/new", make([]byte, snipestore.MaxValueBytes+1), "")
+			return err
+		}, want: snipestore.ErrTooLarge},
+		{name: "lost answer", faults: snipestandin.StoreFaults{LoseAnswers: 1}, call: put, want: snipestore.ErrUnclear, written: true},
+		{name: "lost request", faults: snipestandin.StoreFaults{LoseRequests: 1}, call: put, want: snipestore.ErrUnclear},
+		{name: "silent write", faults: snipestandin.StoreFaults{Outage: snipestandin.OutageSilent}, call: put, want: snipestore.ErrUnclear},
+		{name: "outage write", faults: snipestandin.StoreFaults{Outage: snipestandin.OutageError}, call: put, want: snipestore.ErrUnavailable},
+		{name: "refused write", faults: snipestandin.StoreFaults{RefuseFraction: 1}, call: put, want: snipestore.ErrUnavailable},
+		{name: "silent read", faults: snipestandin.StoreFaults{Outage: snipestandin.OutageSilent}, call: get, want: snipestore.ErrUnavailable},
+		{name: "closed read", faults: snipestandin.StoreFaults{Outage: snipestandin.OutageClose}, call: get, want: snipestore.ErrUnavailable},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			store := newStore(t)
+			s := settings(store)
+			s.CallTimeout = 100 * time.Millisecond
+			client := newClient(t, s)
+			// The connection is in use before, so that net/http may replay.
+			if _, err := client.Create(ctx, "k/old", []byte("v"), ""); err != nil {
+				t.Fatal(err)
+			}
+			before := store.Calls()
+			store.SetFaults(c.faults)
+			if err := c.call(client); !errors.Is(err, c.want) {
+				t.Errorf("error is %v, want %v", err, c.want)
+			}
+			if calls := store.Calls()[snipestandin.CallPut] - before[snipestandin.CallPut]; calls > 1 {
+				t.Errorf("the write was sent %d times", calls)
+			}
+			if _, version := store.Value("k/new"); (version != 0) != c.written {
+				t.Errorf("the key has version %d, want written %v", version, c.written)
+			}
+		})
+	}
+}
+
+// Guards against a write that is reported as unclear although no connection
+// was ever opened, which would make every change in an outage unclear.
+func TestRefusedDialIsDefinite(t *testing.T) {
+	store := newStore(t)
+	s := settings(store)
+	s.DialContext = func(context.Context, string, string) (net.Conn, error) {
+		return nil, errors.New("connection refused")
+	}
+	_, err := newClient(t, s).Create(context.Background(), "k", nil, "")
+	if !errors.Is(err, snipestore.ErrUnavailable) || errors.Is(err, snipestore.ErrUnclear) {
+		t.Errorf("error is %v, want only %v", err, snipestore.ErrUnavailable)
+	}
+}
+
+// Guards against a client that exceeds its call budget or waits within it, and
+// against calls that are not counted.
+func TestBudget(t *testing.T) {
+	store := newStore(t)
+	s := settings(store)
+	s.CallsPerSecond, s.CallBurst = 1e-9, 3
+	client := newClient(t, s)
+	for range 5 {
+		_, err := client.Create(context.Background(), "k", nil, "")
+		if err != nil && !errors.Is(err, snipestore.ErrConflict) && !errors.Is(err, snipestore.ErrBudget) {
+			t.Error(err)
+		}
+	}
+	got := [3]uint64{
+		client.Count(snipestore.CallPut, snipestore.ResultOK),
+		client.Count(snipestore.CallPut, snipestore.ResultConflict),
+		client.Count(snipestore.CallPut, snipestore.ResultBudget),
+	}
+	if got != [3]uint64{1, 2, 2} || store.Calls()[snipestandin.CallPut] != 3 {
+		t.Errorf("ok, conflict and budget are %v with %v at the store, want 1, 2, 2 and 3 puts", got, store.Calls())
+	}
+}
+
+// Guards against a client that stays with a dead address.
+func TestNextAddress(t *testing.T) {
+	dead, alive := newStore(t), newStore(t)
+	dead.SetFaults(snipestandin.StoreFaults{Outage: snipestandin.OutageError})
+	s := settings(alive)
+	s.Addresses = []string{dead.Address(), alive.Address()}
+	client := newClient(t, s)
+	if _, _, err := client.List(context.Background(), ""); err != nil || !client.Available() {
+		t.Errorf("available is %v, error %v", client.Available(), err)
+	}
+}
+
+// failedWatches receives a value for each watch call that failed.
+type failedWatches chan struct{}
+
+// ObserveCall implements snipestore.Observer.
+func (f failedWatches) ObserveCall(call snipestore.Call, result snipestore.Result, _ time.Duration) {
+	if call == snipestore.CallWatch && result == snipestore.ResultUnavailable {
+		select {
+		case f <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Guards against a watch that ends in an outage, misses changes around it,
+// hides a store that goes back, or does not report the keys of a lapsed lease.
+func TestWatch(t *testing.T) {
+	store := newStore(t)
+	failed := make(failedWatches, 100)
+	s := settings(store)
+	s.Observer = failed
+	client := newClient(t, s)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	must := func(_ uint64, err error) {
+		t.Helper()
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	must(client.Create(ctx, "w/before", nil, ""))
+	_, revision, err := client.List(ctx, "w/")
+	if err != nil {
+		t.Fatal(err)
+	}
+	events := client.Watch(ctx, "w/", revision)
+
+	lease, err := client.Grant(ctx, time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	must(client.Create(ctx, "w/leased", []byte("1"), lease))
+	if e := <-events; len(e.Items) != 1 || e.Items[0].Key != "w/leased" {
+		t.Fatalf("event is %+v, want w/leased", e)
+	}
+	must(client.Create(ctx, "other", nil, ""))
+	store.SetFaults(snipestandin.StoreFaults{Outage: snipestandin.OutageError})
+	store.Lapse(lease)
+	for range 3 {
+		select {
+		case <-failed:
+		case <-ctx.Done():
+			t.Fatal("the watch did not notice the outage")
+		}
+	}
+	store.SetFaults(snipestandin.StoreFaults{})
+	if e := <-events; len(e.Deleted) != 1 || e.Deleted[0] != "w/leased" {
+		t.Fatalf("event is %+v, want the deletion of w/leased", e)
+	}
+	store.SetFaults(snipestandin.StoreFaults{OldData: true})
+	must(client.Create(ctx, "w/hidden", nil, ""))
+	store.SetFaults(snipestandin.StoreFaults{})
+	if e := <-events; len(e.Items) != 1 || e.Items[0].Key != "w/hidden" {
+		t.Fatalf("event is %+v, want w/hidden", e)
+	}
+	cancel()
+	for range events {
+	}
+}
+
+// Guards against a store that lost data and is not noticed, and against a flood
+// of calls to it.
+func TestWatchBackwards(t *testing.T) {
+	store := newStore(t)
+	client := newClient(t, settings(store))
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	events := client.Watch(ctx, "", 50)
+	if e := <-events; !e.Backwards || e.Revision != 0 {
+		t.Errorf("event is %+v, want revision 0 to be reported as backwards", e)
+	}
+	cancel()
+	for range events {
+	}
+}
--- /dev/null
+++ b/snipestore/writer_test.go
@@ -0,0 +1,249 @@
+package snipestore_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/snipemoor/snipemoor/snipeconfig"
+	"github.com/snipemoor/snipemoor/snipestandin"
+	"github.com/snipemoor/snipemoor/snipestore"
+)
+
+// attemptedChange is one change of a racing writer and what it was told.
+type attemptedChange struct {
+	operation string
+	report    snipestore.Report
+	err       error
+}
+
+// raceWriters lets writers change the configuration at the same time, each on
+// the base that it reads first.
+func raceWriters(t *rapid.T, tb testing.TB, store *snipestandin.Store, writers, rounds int) []attemptedChange {
+	var mu sync.Mutex
+	var all []attemptedChange
+	var wg sync.WaitGroup
+	for w := range writers {
+		wg.Go(func() {
+			client := snipestore.New(settings(store))
+			defer client.Close()
+			var base *snipeconfig.Snapshot
+			for round := range rounds {
+				ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+				if s, err := snipestore.NewReader(client).Load(ctx, base); err == nil {
+					base = s
+				}
+				change := snipestore.Change{
+					Operation: fmt.Sprintf("op-%d-%d", w, round),
+					Base:      base,
+					Set:       documents(tb, 1+w*1000+round),
+				}
+				report, err := snipestore.NewWriter(client).Apply(ctx, change)
+				cancel()
+				mu.Lock()
+				all = append(all, attemptedChange{change.Operation, report, err})
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	if len(all) != writers*rounds {
+		t.Fatalf("%d changes were reported, want %d", len(all), writers*rounds)
+	}
+	return all
+}
+
+// Guards against a change that is reported as failed or stale and takes effect,
+// one that is reported as committed and is lost or reverted, two changes with
+// one generation, and an instance that goes back, while writers race and
+// answers, requests and calls are lost.
+func TestRacingWriters(t *testing.T) {
+	var unclear, committed, stale int
+	rapid.Check(t, func(rt *rapid.T) {
+		store := newStore(t)
+		faults := snipestandin.StoreFaults{
+			LoseAnswers:    rapid.IntRange(0, 12).Draw(rt, "loseAnswers"),
+			LoseRequests:   rapid.IntRange(0, 12).Draw(rt, "loseRequests"),
+			RefuseFraction: rapid.Float64Range(0, 0.3).Draw(rt, "refuseFraction"),
+		}
+		writers := rapid.IntRange(2, 4).Draw(rt, "writers")
+		store.SetFaults(faults)
+		generations := observe(rt, store)
+		all := raceWriters(rt, t, store, writers, 3)
+		store.SetFaults(snipestandin.StoreFaults{})
+		generations()
+
+		client := snipestore.New(settings(store))
+		defer client.Close()
+		head, err := snipestore.NewReader(client).Head(context.Background())
+		if errors.Is(err, snipestore.ErrNotFound) {
+			head, err = snipestore.Head{}, nil
+		}
+		if err != nil {
+			rt.Fatal(err)
+		}
+		seen := map[uint64]string{}
+		for _, c := range all {
+			generation, inForce := head.Committed(c.operation)
+			if inForce {
+				if other, taken := seen[generation]; taken {
+					rt.Errorf("generation %d belongs to %s and %s", generation, other, c.operation)
+				}
+				seen[generation] = c.operation
+			}
+			switch {
+			case c.err != nil || c.report.Outcome() == snipestore.Stale || c.report.Outcome() == snipestore.StoreBehind:
+				if inForce {
+					rt.Errorf("%s took effect and was reported as %s, error %v", c.operation, c.report.Outcome(), c.err)
+				}
+				stale++
+			case c.report.Outcome() == snipestore.Committed:
+				if !inForce || generation != c.report.Generation() {
+					rt.Errorf("%s was committed as %d and is not in force as such", c.operation, c.report.Generation())
+				}
+				committed++
+			default:
+				unclear++
+			}
+		}
+		if uint64(len(seen)) != head.Generation() {
+			rt.Errorf("%d operations led to generation %d", len(seen), head.Generation())
+		}
+	})
+	t.Logf("committed %d, stale or failed %d, unclear %d", committed, stale, unclear)
+	if committed == 0 || stale == 0 {
+		t.Error("the writers did not race")
+	}
+}
+
+// observe loads the configuration into a tracker until the returned function
+// is called, which checks that generations only rose.
+func observe(t *rapid.T, store *snipestandin.Store) func() {
+	client := snipestore.New(settings(store))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		var tracker snipeconfig.Tracker
+		last := uint64(0)
+		for ctx.Err() == nil {
+			s, err := snipestore.NewReader(client).Load(ctx, tracker.Current())
+			if err != nil {
+				continue
+			}
+			if verdict := tracker.Offer(s); verdict == snipeconfig.Conflict {
+				t.Errorf("generation %d was seen with two digests", s.Generation())
+			}
+			if now := tracker.Current().Generation(); now < last {
+				t.Errorf("generation fell from %d to %d", last, now)
+			} else {
+				last = now
+			}
+		}
+	}()
+	return func() {
+		cancel()
+		<-done
+		client.Close()
+	}
+}
+
+// applied makes a change and fails the test unless it is committed.
+func applied(t *testing.T, client *snipestore.Client, operation string, base *snipeconfig.Snapshot, mbit int) *snipeconfig.Snapshot {
+	t.Helper()
+	ctx := context.Background()
+	change := snipestore.Change{Operation: operation, Base: base, Set: documents(t, mbit)}
+	report, err := snipestore.NewWriter(client).Apply(ctx, change)
+	if err != nil || report.Outcome() != snipestore.Committed {
+		t.Fatalf("%s is %s, error %v", operation, report.Outcome(), err)
+	}
+	s, err := snipestore.NewReader(client).Load(ctx, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// Guards against outcomes that mislead an operator.
+func TestOutcomes(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults snipestandin.StoreFaults
+		change func(first, second *snipeconfig.Snapshot) snipestore.Change
+		want   snipestore.Outcome
+	}{
+		{name: "stale", change: func(first, _ *snipeconfig.Snapshot) snipestore.Change {
+			return snipestore.Change{Operation: "op-3", Base: first}
+		}, want: snipestore.Stale},
+		{name: "repeated", change: func(first, _ *snipeconfig.Snapshot) snipestore.Change {
+			return snipestore.Change{Operation: "op-2", Base: first}
+		}, want: snipestore.Committed},
+		{name: "behind", change: func(_, second *snipeconfig.Snapshot) snipestore.Change {
+			return snipestore.Change{Operation: "op-3", Base: second, Known: 9}
+		}, want: snipestore.StoreBehind},
+		{name: "lost answer", faults: snipestandin.StoreFaults{LoseAnswers: 1}, change: func(_, second *snipeconfig.Snapshot) snipestore.Change {
+			return snipestore.Change{Operation: "op-3", Base: second}
+		}, want: snipestore.Committed},
+		{name: "all answers lost and old data", faults: snipestandin.StoreFaults{LoseAnswers: 99, OldData: true}, change: func(_, second *snipeconfig.Snapshot) snipestore.Change {
+			return snipestore.Change{Operation: "op-3", Base: second}
+		}, want: snipestore.Unclear},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			store := newStore(t)
+			client := newClient(t, settings(store))
+			first := applied(t, client, "op-1", nil, 10)
+			second := applied(t, client, "op-2", first, 20)
+			store.SetFaults(c.faults)
+			report, err := snipestore.NewWriter(client).Apply(context.Background(), c.change(first, second))
+			if err != nil || report.Outcome() != c.want {
+				t.Errorf("outcome is %s, error %v, want %s", report.Outcome(), err, c.want)
+			}
+			if c.want == snipestore.Stale && len(report.Difference()) != 1 {
+				t.Errorf("difference is %q, want one line", report.Difference())
+			}
+		})
+	}
+}
+
+// Guards against a change that is written although it is invalid.
+func TestInvalidChange(t *testing.T) {
+	store := newStore(t)
+	client := newClient(t, settings(store))
+	first := applied(t, client, "op-1", nil, 10)
+	change := snipestore.Change{Operation: "op-2", Base: first, Delete: []snipeconfig.Ref{{Kind: snipeconfig.KindFleet, Name: "small"}}}
+	_, err := snipestore.NewWriter(client).Apply(context.Background(), change)
+	if _, ok := snipeconfig.AsFaults(err); !ok {
+		t.Errorf("error is %v, want faults", err)
+	}
+	if head, err := snipestore.NewReader(client).Head(context.Background()); err != nil || head.Generation() != 1 {
+		t.Errorf("generation is %d, error %v, want 1", head.Generation(), err)
+	}
+}
+
+// Guards against a reader that goes back when the store shows old data.
+func TestReaderBehind(t *testing.T) {
+	store := newStore(t)
+	client := newClient(t, settings(store))
+	first := applied(t, client, "op-1", nil, 10)
+	store.SetFaults(snipestandin.StoreFaults{OldData: true})
+	change := snipestore.Change{Operation: "op-2", Base: first, Set: documents(t, 20)}
+	report, err := snipestore.NewWriter(client).Apply(context.Background(), change)
+	if err != nil || report.Outcome() != snipestore.Committed {
+		t.Fatalf("outcome is %s, error %v", report.Outcome(), err)
+	}
+	store.SetFaults(snipestandin.StoreFaults{})
+	second, err := snipestore.NewReader(client).Load(context.Background(), first)
+	if err != nil {
+		t.Fatal(err)
+	}
+	old, err := snipestore.NewReader(client).LoadHead(context.Background(), snipestore.Head{}, second)
+	if !errors.Is(err, snipestore.ErrBehind) {
+		t.Errorf("snapshot %v, error %v, want %v", old, err, snipestore.ErrBehind)
+	}
+}
