--- a/snipestandin/targethttp.go
+++ b/snipestandin/targethttp.go
@@ -108,14 +108,23 @@
 		return
 	}
 	if silent {
-		select {
-		case <-r.Context().Done():
-		case <-t.closed:
-		}
+		t.silence(r)
 	}
 	dropConnection()
 }
 
+// silence waits until the client is gone or the target is closed. The server
+// notices that the client is gone only once the body has been read.
+func (t *Target) silence(r *http.Request) {
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	select {
+	case <-r.Context().Done():
+	case <-t.closed:
+	}
+}
+
 func (t *Target) handleRequest(w http.ResponseWriter, r *http.Request) {
 	t.mu.Lock()
 	t.stats.Requests++
@@ -217,10 +226,7 @@
 			flusher.Flush()
 		}
 		if silent {
-			select {
-			case <-r.Context().Done():
-			case <-t.closed:
-			}
+			t.silence(r)
 		}
 		dropConnection()
 	}
