--- a/snipestandin/snipestandin_test.go
+++ b/snipestandin/snipestandin_test.go
@@ -81,7 +81,8 @@
 				if got := target.Runs("r1"); got != c.runs || target.RunsOfKey("key-r1") != c.runs {
 					t.Errorf("the request ran %d times, want %d", got, c.runs)
 				}
-				// The slot must be free again, and only one request fails.
+				// The slot must become free again, and only one request fails.
+				waitUntil(t, func() bool { running, _ := target.Busy(); return running == 0 })
 				status, _, body, err := call(context.Background(), http.MethodPost, url, "r2", "some body")
 				if err != nil || status != http.StatusOK || !strings.Contains(body, `"requestId":"r2"`) || len(body) != 1000 {
 					t.Errorf("the next request got status %d, %d bytes, error %v", status, len(body), err)
