--- a/snipestandin/store.go
+++ b/snipestandin/store.go
@@ -56,6 +56,10 @@
 	LoseAnswers int `check:"min=0,max=1000000"`
 	// LoseRequests is how many of the next writes are dropped without effect.
 	LoseRequests int `check:"min=0,max=1000000"`
+	// LateWrites is how many of the next writes lose their connection first and
+	// take effect LateBy later.
+	LateWrites int           `check:"min=0,max=1000000"`
+	LateBy     time.Duration `check:"max=10m"`
 	// RefuseFraction is the part of the calls that is answered with status 429.
 	RefuseFraction float64 `check:"min=0,max=1"`
 	// OldData makes reads show the data as it was when the fault was set.
@@ -91,6 +95,7 @@
 	// cancelWake ends the timer for the next lease that expires.
 	cancelWake func()
 	closed     chan struct{}
+	late       sync.WaitGroup
 }
 
 // storeData is what reads see.
@@ -177,6 +182,9 @@
 	return maps.Clone(s.calls)
 }
 
+// WaitLate waits until all late writes have taken effect.
+func (s *Store) WaitLate() { s.late.Wait() }
+
 // Lapse expires a lease at once and deletes its keys, also during an outage.
 // It reports false if there is no such lease.
 func (s *Store) Lapse(lease string) bool {
--- a/snipestandin/storehttp.go
+++ b/snipestandin/storehttp.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/snipemoor/snipemoor/snipetime"
 )
 
 type itemWire struct {
@@ -133,6 +135,12 @@
 			s.mu.Unlock()
 			dropConnection()
 		}
+		if s.faults.LateWrites > 0 {
+			s.faults.LateWrites--
+			s.delayWrite(r, body, h)
+			s.mu.Unlock()
+			dropConnection()
+		}
 		s.expire()
 		a := h(r, body)
 		lost := s.faults.LoseAnswers > 0
@@ -147,6 +155,18 @@
 	})
 }
 
+// delayWrite lets a write take effect later. The caller holds the lock.
+func (s *Store) delayWrite(r *http.Request, body []byte, h func(*http.Request, []byte) answer) {
+	s.late.Add(1)
+	s.clock.After(s.faults.LateBy, func(snipetime.Instant) {
+		defer s.late.Done()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.expire()
+		h(r, body)
+	})
+}
+
 func writeError(w http.ResponseWriter, status int, message string) {
 	writeJSON(w, status, errorWire{Error: message})
 }
--- a/snipestore/writer_test.go
+++ b/snipestore/writer_test.go
@@ -61,7 +61,7 @@
 // Guards against a change that is reported as failed or stale and takes effect,
 // one that is reported as committed and is lost or reverted, two changes with
 // one generation, and an instance that goes back, while writers race and
-// answers, requests and calls are lost.
+// answers, requests and calls are lost and writes take effect late.
 func TestRacingWriters(t *testing.T) {
 	var unclear, committed, stale int
 	rapid.Check(t, func(rt *rapid.T) {
@@ -69,6 +69,8 @@
 		faults := snipestandin.StoreFaults{
 			LoseAnswers:    rapid.IntRange(0, 12).Draw(rt, "loseAnswers"),
 			LoseRequests:   rapid.IntRange(0, 12).Draw(rt, "loseRequests"),
+			LateWrites:     rapid.IntRange(0, 12).Draw(rt, "lateWrites"),
+			LateBy:         time.Duration(rapid.IntRange(0, 40).Draw(rt, "lateByMillis")) * time.Millisecond,
 			RefuseFraction: rapid.Float64Range(0, 0.3).Draw(rt, "refuseFraction"),
 		}
 		writers := rapid.IntRange(2, 4).Draw(rt, "writers")
@@ -76,6 +78,7 @@
 		generations := observe(rt, store)
 		all := raceWriters(rt, t, store, writers, 3)
 		store.SetFaults(snipestandin.StoreFaults{})
+		store.WaitLate()
 		generations()
 
 		client := snipestore.New(settings(store))
