--- a/snipemember/member_test.go
+++ b/snipemember/member_test.go
@@ -231,12 +231,12 @@
 	})
 }
 
-// bigView returns the view of instance 0 in a fleet of n in 18 domains, in
+// bigView returns the view of instance self in a fleet of n in 18 domains, in
 // which all are known.
-func bigView(n int) *snipemember.View {
+func bigView(self, n int) *snipemember.View {
 	const domains = 18
-	v := snipemember.New(newsOf(0, domains, "0000000000000000", 1), placesOf(domains), snipemember.Settings{}, 0)
-	for i := 1; i < n; i++ {
+	v := snipemember.New(newsOf(self, domains, "0000000000000000", 1), placesOf(domains), snipemember.Settings{}, 0)
+	for i := range n {
 		v.Heartbeat(newsOf(i, domains, fmt.Sprintf("%016x", i), 1), nil, 0)
 	}
 	v.Tick(0)
@@ -248,46 +248,50 @@
 // bytes are those of heartbeats and summaries with yamux framing; TCP headers
 // and load reports are not part of them.
 func TestControlTraffic(t *testing.T) {
-	const instances, limit, seconds = 460, 3000.0, 120
-	v := bigView(instances)
-	peers := v.Mesh()
-	total, remote := 0, 0
-	beat := func(count bool, now snipetime.Instant) {
-		for i, p := range peers {
-			if now.Sub(0)%p.Period != 0 {
-				continue
-			}
-			news := v.Summaries(p.Address, now)
-			if !count {
+	const limit = 3000.0
+	kinds := make(map[bool]bool)
+	for self := 0; len(kinds) < 2; self++ {
+		v := bigView(self, 460)
+		peers := v.Mesh()
+		delegate := len(peers) > 30
+		if kinds[delegate] {
+			continue
+		}
+		kinds[delegate] = true
+		rate := trafficOf(v, peers)
+		t.Logf("delegate %v, %d peers: %.0f B/s", delegate, len(peers), rate)
+		if rate > limit {
+			t.Errorf("control traffic %.0f B/s, limit %.0f", rate, limit)
+		}
+	}
+}
+
+// trafficOf returns the bytes per second that a view sends from the tenth to
+// the twelfth minute.
+func trafficOf(v *snipemember.View, peers []snipemember.Peer) float64 {
+	const from, until = 10 * time.Minute, 12 * time.Minute
+	total := 0
+	for at := time.Duration(0); at < until; at += snipemember.Period {
+		for _, p := range peers {
+			if at%p.Period != 0 {
 				continue
 			}
-			total += snipemember.SteadySize(1<<20, 86_400_000)
-			for _, s := range news {
-				total += s.EncodedSize()
+			size := snipemember.SteadySize(1<<20, 86_400_000)
+			for _, s := range v.Summaries(p.Address, snipetime.Instant(0).Add(at)) {
+				size += s.EncodedSize()
 			}
-			if peers[i].Period == snipemember.RemotePeriod {
-				remote++
+			if at >= from {
+				total += size
 			}
 		}
 	}
-	now := snipetime.Instant(0)
-	for ; now.Sub(0) < 10*time.Minute; now = now.Add(snipemember.Period) {
-		beat(false, now)
-	}
-	for end := now.Add(seconds * time.Second); now.Before(end); now = now.Add(snipemember.Period) {
-		beat(true, now)
-	}
-	rate := float64(total) / seconds
-	t.Logf("%d peers, delegate %v: %.0f B/s", len(peers), remote > 0, rate)
-	if rate > limit {
-		t.Errorf("control traffic %.0f B/s, limit %.0f", rate, limit)
-	}
+	return float64(total) / (until - from).Seconds()
 }
 
 // Guards against a former process that displaces a newer one that is heard, by
 // a late heartbeat with a high sequence.
 func TestFormerIncarnation(t *testing.T) {
-	v := bigView(2)
+	v := bigView(0, 2)
 	older, newer := newsOf(1, 18, "0000000000000000", 99), newsOf(1, 18, "0000000000000002", 1)
 	v.Heartbeat(newer, nil, 1)
 	v.Heartbeat(older, nil, 2)
@@ -319,7 +323,7 @@
 func BenchmarkSnapshotFind(b *testing.B) {
 	for _, n := range []int{12, 460} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			v := bigView(n)
+			v := bigView(0, n)
 			address := newsOf(n/2, 18, "", 0).Address
 			b.ReportAllocs()
 			for b.Loop() {
@@ -332,7 +336,7 @@
 func BenchmarkSteady(b *testing.B) {
 	for _, n := range []int{12, 460} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			v := bigView(n)
+			v := bigView(0, n)
 			address := newsOf(1, 18, "", 0).Address
 			sequence := uint64(1)
 			b.ReportAllocs()
--- a/snipeonce/once_test.go
+++ b/snipeonce/once_test.go
@@ -1,6 +1,7 @@
 package snipeonce
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -26,3 +27,70 @@
 		t.Errorf("third Begin = %+v", d)
 	}
 }
+
+// Guards against two spellings of one identifier and against a panic on input
+// of callers.
+func FuzzParseRequestID(f *testing.F) {
+	for _, s := range []string{"a-b-1-2.3", "a-b-01-2.3", "a-b-1-2", "a--1-2.3", "a-b-1-2-3.4", "a-b-1-+2.3", ".", "a-b-1-4398046511105.0"} {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, s string) {
+		id, err := ParseRequestID(s)
+		if err == nil && id.String() != s {
+			t.Errorf("%q parsed as %q", s, id)
+		}
+	})
+}
+
+// Guards against a parser that accepts a malformed identifier or rejects one
+// that the minter makes.
+func TestParseRequestID(t *testing.T) {
+	for s, valid := range map[string]bool{
+		"a-b-1-2.3": true, "a-b-1-2": false, "a-b-01-2.3": false, "-b-1-2.3": false, "a-b-c-1-2.3": false, "a-b-1-2.-3": false,
+	} {
+		if _, err := ParseRequestID(s); (err == nil) != valid {
+			t.Errorf("%q: error %v, want valid %v", s, err, valid)
+		}
+	}
+}
+
+func ExampleTable() {
+	minter := NewMinter("68a1b2c300000001")
+	table := NewTable("68a1b2c300000001", Settings{})
+	id := minter.Issue(0)
+	deadline := snipetime.Instant(0).Add(5 * time.Second)
+	fmt.Println(table.Begin(id, 0, deadline, 1).Kind == Start)
+	table.Finish(id, Result{Outcome: OutcomeDone, Answer: &Answer{Status: 201}}, 0)
+	repeat := table.Begin(id, 0, deadline, 2)
+	fmt.Println(repeat.Kind == Stored, repeat.Result.Outcome, repeat.Result.Answer.Status)
+	// Output:
+	// true
+	// true done 201
+}
+
+func BenchmarkBeginFinish(b *testing.B) {
+	for _, n := range []int{100, 10_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			table := NewTable("a", Settings{MaxBytes: 1 << 40})
+			id := RequestID{Incarnation: "a", Minter: "a"}
+			now := snipetime.Instant(0)
+			begin := func() {
+				id.Counter++
+				id.IssuedAt = Millis(now)
+				table.Begin(id, now, now.Add(time.Second), 1)
+				table.Finish(id, Result{Outcome: OutcomeDone}, now)
+			}
+			for range n {
+				begin()
+			}
+			// Each pass lets one record expire for each that it adds.
+			step := 90 * time.Second / time.Duration(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(step)
+				begin()
+				table.Tick(now)
+			}
+		})
+	}
+}
