--- a/snipepeer/example_test.go
+++ b/snipepeer/example_test.go
@@ -22,7 +22,7 @@
 		return snipepeer.New(settings, l, &net.Dialer{}, zap.NewNop()), settings.Address
 	}
 	lender, address := node("lender")
-	snipepeer.HandleCall(lender, func(_ context.Context, from snipepeer.Peer, q *snipewire.LoanRequest) (*snipewire.LoanReply, error) {
+	snipepeer.HandleCall(lender, func(_ context.Context, _ snipepeer.Peer, q *snipewire.LoanRequest) (*snipewire.LoanReply, error) {
 		return &snipewire.LoanReply{LoanId: q.GetLoanId(), Units: q.GetUnits() / 2}, nil
 	})
 	lender.Start()
