--- a/snipeforward/handler.go
+++ b/snipeforward/handler.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -124,7 +125,7 @@
 	}
 	started := time.Now()
 	resp, err := f.targets.Attempt(ctx, snipetarget.Request{
-		Target: grant.Target, Method: r.Method, URI: uri, Header: endToEnd(r.Header),
+		Target: grant.Target, Method: r.Method, URI: uri, Header: requestHeader(r),
 		Body: http.MaxBytesReader(nil, r.Body, s.MaxBody), ContentLength: r.ContentLength,
 	})
 	if err != nil {
@@ -195,6 +196,16 @@
 	return min(d, s.MaxTimeout), nil
 }
 
+// requestHeader returns the end-to-end headers with the caller's address
+// appended to X-Forwarded-For.
+func requestHeader(r *http.Request) http.Header {
+	h := endToEnd(r.Header)
+	if host, _, err := net.SplitHostPort(r.RemoteAddr); err == nil {
+		h.Add("X-Forwarded-For", host)
+	}
+	return h
+}
+
 // endToEnd returns a copy of h without hop-by-hop headers.
 func endToEnd(h http.Header) http.Header {
 	c := h.Clone()
--- a/snipeforward/handler_test.go
+++ b/snipeforward/handler_test.go
@@ -32,7 +32,7 @@
 			_ = http.NewResponseController(w).Flush()
 			panic(http.ErrAbortHandler)
 		}
-		_, _ = io.WriteString(w, r.RequestURI+r.Header.Get("X-Hop"))
+		_, _ = io.WriteString(w, r.RequestURI+r.Header.Get("X-Hop")+r.Header.Get("X-Forwarded-For"))
 	}))
 	defer target.Close()
 	pools := snipetarget.New(snipetarget.Settings{}, &net.Dialer{})
@@ -55,7 +55,7 @@
 			}
 			continue
 		}
-		if err != nil || string(body) != path || resp.Header.Get("Snipemoor-Outcome") != "done" {
+		if err != nil || string(body) != path+"127.0.0.1" || resp.Header.Get("Snipemoor-Outcome") != "done" {
 			t.Errorf("body %q, error %v, headers %v", body, err, resp.Header)
 		}
 	}
