--- a/snipemeasure/project.go
+++ b/snipemeasure/project.go
@@ -139,7 +139,9 @@
 // acquire asks the next place for a free slot, or queues when all were asked.
 func (p *project) acquire(c *call) {
 	remaining := p.m.settings.Timeout - p.m.now.Sub(c.arrived)
-	a := snipeslot.Acquire{From: p.self, Budget: remaining}
+	// A short queue at one place costs less than asking another one.
+	patience := 2 * p.m.settings.ControlDelay
+	a := snipeslot.Acquire{From: p.self, Budget: remaining, MaximumWait: patience}
 	place := c.best
 	if c.tried < len(c.plan) {
 		place = p.places[c.plan[c.tried].Place]
--- a/sniperoute/chooser.go
+++ b/sniperoute/chooser.go
@@ -11,15 +11,19 @@
 
 // Defaults of ChooserSettings.
 const (
-	DefaultSlowStart        = 10 * time.Second
-	DefaultEjection         = 10 * time.Second
-	DefaultMaximumEjection  = 60 * time.Second
-	DefaultFailures         = 5
-	DefaultFailureRatio     = 0.5
-	DefaultLatencyFactor    = 3.0
-	DefaultMinimumSamples   = 20
-	DefaultProbeStale       = 5 * time.Second
-	smoothing               = 0.1
+	DefaultSlowStart       = 10 * time.Second
+	DefaultEjection        = 10 * time.Second
+	DefaultMaximumEjection = 60 * time.Second
+	DefaultFailures        = 5
+	DefaultFailureRatio    = 0.5
+	DefaultLatencyFactor   = 3.0
+	DefaultMinimumSamples  = 50
+	DefaultProbeStale      = 5 * time.Second
+	smoothing              = 0.1
+	// Service times vary widely from request to request: with fewer samples, a
+	// few long requests would eject a normal target.
+	latencySmoothing        = 1.0 / 64
+	latencyClip             = 10.0
 	initialSlowStartWeight  = 0.1
 	reportedQueueMultiplier = 0.5
 )
@@ -285,7 +289,12 @@
 		t.latency = sample
 		return
 	}
-	t.latency += smoothing * (sample - t.latency)
+	// The first samples are averaged with equal weight.
+	if t.samples < 1/latencySmoothing {
+		t.latency += (sample - t.latency) / float64(t.samples)
+		return
+	}
+	t.latency += latencySmoothing * (min(sample, latencyClip*t.latency) - t.latency)
 }
 
 // slow reports whether the latency of t is an outlier against the median of the
--- a/snipeslot/messages.go
+++ b/snipeslot/messages.go
@@ -44,7 +44,9 @@
 	From      Member
 	// Budget is the time left to the request when the message was sent.
 	Budget time.Duration
-	// MaximumWait bounds the time in the queue; 0 means not to queue.
+	// MaximumWait bounds the time in the queue; 0 means not to queue. A request
+	// with a longer expected wait is refused at once, so that it can ask another
+	// group.
 	MaximumWait time.Duration
 	// Excluded holds targets that this request has tried already.
 	Excluded []string
--- a/snipeslot/owner.go
+++ b/snipeslot/owner.go
@@ -201,6 +201,8 @@
 		return o.reply(e.acquire, Refused, ReasonQueueFull, wait)
 	case !now.Add(wait).Before(e.deadline):
 		return o.reply(e.acquire, Refused, ReasonWouldMissDeadline, wait)
+	case wait > e.acquire.MaximumWait:
+		return o.reply(e.acquire, Refused, ReasonNoSlot, wait)
 	}
 	o.queue.insert(at, e)
 	return o.reply(e.acquire, Queued, ReasonNone, 0)
