Add forwarding, the daemon and its command

snipeforward takes a request through its steps behind small interfaces, and snipedaemon connects the decision packages with sessions, the store and targets.

--- /dev/null
+++ b/snipedaemon/records.go
@@ -0,0 +1,299 @@
+package snipedaemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/snipemoor/snipemoor/snipemember"
+	"github.com/snipemoor/snipemoor/snipeonce"
+	"github.com/snipemoor/snipemoor/snipepeer"
+	"github.com/snipemoor/snipemoor/snipestore"
+	"github.com/snipemoor/snipemoor/snipetime"
+	"github.com/snipemoor/snipemoor/snipewire"
+)
+
+const (
+	recordPeriod = time.Second
+	// handoverBytes is the size of one message of a hand-over.
+	handoverBytes = 256 << 10
+	// handoverTimeout bounds one message of a hand-over.
+	handoverTimeout = 2 * time.Second
+	// statusTimeout bounds a question to the issuer of an identifier.
+	statusTimeout = 2 * time.Second
+	// claimTimeout bounds the claim of one idempotency key.
+	claimTimeout = 5 * time.Second
+	// claimsPerSecond and claimBurst are the write budget of one instance for
+	// idempotency keys: 12 instances use less than half of the several hundred
+	// writes a second that the store takes.
+	claimsPerSecond = 10.0
+	claimBurst      = 50
+)
+
+// records runs the at-most-once records of this instance.
+type records struct {
+	log     *zap.Logger
+	clock   timer
+	node    *snipepeer.Node
+	store   *snipestore.Client
+	self    identity
+	table   *snipeonce.Table
+	foreign *snipeonce.ForeignAttempts
+	minter  *snipeonce.Minter
+	budget  *snipeonce.ClaimBudget
+	members func() *snipemember.Snapshot
+	tokens  atomic.Uint64
+
+	mu      sync.Mutex
+	waiters map[snipeonce.Waiter]chan snipeonce.Result
+	// successors maps a closed incarnation to the peer address of the instance
+	// that answers for it.
+	successors map[string]string
+}
+
+func newRecords(log *zap.Logger, clock timer, node *snipepeer.Node, store *snipestore.Client, self identity, maxBytes int, members func() *snipemember.Snapshot) *records {
+	r := &records{
+		log: log, clock: clock, node: node, store: store, self: self, members: members,
+		table:      snipeonce.NewTable(self.incarnation, snipeonce.Settings{MaxBytes: maxBytes}),
+		foreign:    snipeonce.NewForeignAttempts(self.incarnation),
+		minter:     snipeonce.NewMinter(self.incarnation),
+		budget:     snipeonce.NewClaimBudget(claimsPerSecond, claimBurst),
+		waiters:    make(map[snipeonce.Waiter]chan snipeonce.Result),
+		successors: make(map[string]string),
+	}
+	snipepeer.HandleCall(node, func(_ context.Context, _ snipepeer.Peer, q *snipewire.RecordStatus) (*snipewire.RecordStatusReply, error) {
+		return r.answerStatus(q)
+	})
+	snipepeer.HandleCall(node, func(_ context.Context, _ snipepeer.Peer, q *snipewire.RecordsHandover) (*snipewire.RecordsHandoverReply, error) {
+		return r.acceptHandover(q)
+	})
+	snipepeer.HandleSend(node, func(_ snipepeer.Peer, m *snipewire.SuccessorNotice) {
+		r.table.Notice(m.GetIncarnation(), m.GetSuccessorIncarnation(), r.clock.Now())
+		r.mu.Lock()
+		r.successors[m.GetIncarnation()] = m.GetSuccessorAddress()
+		r.mu.Unlock()
+	})
+	return r
+}
+
+// begin decides about a request of class once. A Join returns the channel that
+// receives the result and a function that gives the wait up.
+func (r *records) begin(id snipeonce.RequestID, deadline snipetime.Instant) (d snipeonce.Decision, result <-chan snipeonce.Result, leave func()) {
+	w := snipeonce.Waiter(r.tokens.Add(1))
+	ch := make(chan snipeonce.Result, 1)
+	r.mu.Lock()
+	r.waiters[w] = ch
+	r.mu.Unlock()
+	forget := func() {
+		r.mu.Lock()
+		delete(r.waiters, w)
+		r.mu.Unlock()
+	}
+	d = r.table.Begin(id, r.clock.Now(), deadline, w)
+	if d.Kind != snipeonce.Join {
+		forget()
+		return d, nil, nil
+	}
+	return d, ch, func() {
+		r.table.Leave(id, w)
+		forget()
+	}
+}
+
+// finish records how a started request ended and answers those that joined it.
+func (r *records) finish(id snipeonce.RequestID, result snipeonce.Result) {
+	r.wake(r.table.Finish(id, result, r.clock.Now()), result)
+}
+
+func (r *records) wake(waiters []snipeonce.Waiter, result snipeonce.Result) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, w := range waiters {
+		if ch, ok := r.waiters[w]; ok {
+			ch <- result
+			delete(r.waiters, w)
+		}
+	}
+}
+
+func (r *records) tick(now snipetime.Instant) {
+	for _, lapse := range r.table.Tick(now) {
+		r.wake(lapse.Waiters, snipeonce.Result{Outcome: snipeonce.OutcomeUnknown, Reason: snipeonce.ReasonDeadline})
+	}
+	r.foreign.Tick(now)
+}
+
+// peerOf returns the peer address of the process that answers for an
+// incarnation.
+func (r *records) peerOf(incarnation string) (string, bool) {
+	r.mu.Lock()
+	successor, ok := r.successors[incarnation]
+	r.mu.Unlock()
+	if ok {
+		return successor, true
+	}
+	for _, m := range r.members().Members() {
+		if m.Incarnation == incarnation && m.State != snipemember.Gone {
+			return m.PeerAddress, true
+		}
+	}
+	return "", false
+}
+
+func (r *records) answerStatus(q *snipewire.RecordStatus) (*snipewire.RecordStatusReply, error) {
+	id, err := snipeonce.ParseRequestID(q.GetRequestId())
+	if err != nil {
+		return nil, fmt.Errorf("status of %q: %w", q.GetRequestId(), err)
+	}
+	status := r.table.Revoke(id, r.clock.Now())
+	reply := &snipewire.RecordStatusReply{State: uint32(status.State)}
+	if status.State == snipeonce.Finished {
+		reply.Record = recordTo(id, status.Result)
+	}
+	return reply, nil
+}
+
+// askIssuer revokes a request at the instance that answers for its issuer.
+func (r *records) askIssuer(ctx context.Context, id snipeonce.RequestID) snipeonce.Status {
+	if id.Incarnation == r.self.incarnation {
+		return r.table.Revoke(id, r.clock.Now())
+	}
+	peer, ok := r.peerOf(id.Incarnation)
+	if !ok {
+		return snipeonce.Status{}
+	}
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	reply, err := snipepeer.Call[*snipewire.RecordStatusReply](ctx, r.node, peer, &snipewire.RecordStatus{RequestId: id.String(), Revoke: true})
+	if err != nil {
+		r.log.Debug("issuer did not answer", zap.String("request", id.String()), zap.Error(err))
+		return snipeonce.Status{}
+	}
+	status := snipeonce.Status{State: snipeonce.State(reply.GetState())}
+	if status.State == snipeonce.Finished {
+		status.Result = resultFrom(reply.GetRecord())
+	}
+	return status
+}
+
+// claim claims an idempotency key for a request that has begun. It returns the
+// request that owns the key if that is another one, or a refusal.
+func (r *records) claim(ctx context.Context, team, service, key string, id snipeonce.RequestID) (other snipeonce.RequestID, join bool, refused *snipeonce.Result) {
+	if !r.budget.Allow(r.clock.Now()) {
+		return other, false, &snipeonce.Result{Outcome: snipeonce.OutcomeNotRun, Reason: snipeonce.ReasonClaimBudget}
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	path := snipeonce.ClaimPath(team, service, key)
+	claim, action := snipeonce.NewClaim(id, snipestore.NewOperation())
+	for {
+		switch action.Step {
+		case snipeonce.ClaimHeld:
+			return other, false, nil
+		case snipeonce.ClaimJoin:
+			return action.Other, true, nil
+		case snipeonce.ClaimRefused:
+			return other, false, &action.Result
+		case snipeonce.ClaimCreate, snipeonce.ClaimReplace:
+			action = r.writeClaim(ctx, path, claim, action)
+		case snipeonce.ClaimRead:
+			action = r.readClaim(ctx, path, claim)
+		case snipeonce.ClaimAsk:
+			action = claim.Issuer(r.askIssuer(ctx, action.Other))
+		}
+	}
+}
+
+func (r *records) writeClaim(ctx context.Context, path string, claim *snipeonce.Claim, action snipeonce.ClaimAction) snipeonce.ClaimAction {
+	value, err := action.Value.Encode()
+	if err != nil {
+		r.log.Error("claim cannot be encoded", zap.Error(err))
+		return claim.Unavailable()
+	}
+	version := uint64(0)
+	if action.Step == snipeonce.ClaimReplace {
+		version = action.Version
+	}
+	_, err = r.store.Put(ctx, path, value, version, "")
+	switch {
+	case err == nil:
+		return claim.Written()
+	case errors.Is(err, snipestore.ErrConflict):
+		return claim.Conflict()
+	case errors.Is(err, snipestore.ErrUnclear):
+		return claim.Lost()
+	default:
+		return claim.Unavailable()
+	}
+}
+
+func (r *records) readClaim(ctx context.Context, path string, claim *snipeonce.Claim) snipeonce.ClaimAction {
+	item, err := r.store.Get(ctx, path)
+	switch {
+	case errors.Is(err, snipestore.ErrNotFound):
+		return claim.Absent()
+	case err != nil:
+		return claim.Unavailable()
+	}
+	value, err := snipeonce.DecodeClaim(item.Value)
+	if err != nil {
+		r.log.Error("claim cannot be decoded", zap.String("key", path), zap.Error(err))
+		return claim.Unavailable()
+	}
+	return claim.Found(value, item.Version)
+}
+
+// close ends all starts and hands the records over to the first peer that
+// accepts them. It returns the peer, or "" if none did.
+func (r *records) close(ctx context.Context, peers []snipemember.Member) string {
+	r.table.Close(r.clock.Now())
+	export := r.table.Export(r.clock.Now(), handoverBytes)
+	for _, p := range peers {
+		if !r.handOver(ctx, p.PeerAddress, export) {
+			continue
+		}
+		notice := &snipewire.SuccessorNotice{
+			Incarnation: r.self.incarnation, SuccessorAddress: p.PeerAddress, SuccessorIncarnation: p.Incarnation,
+		}
+		for _, other := range peers {
+			_ = r.node.Send(other.PeerAddress, notice)
+		}
+		r.log.Info("records handed over", zap.String("peer", p.PeerAddress), zap.Int("messages", len(export)))
+		return p.PeerAddress
+	}
+	r.log.Warn("records not handed over; their identifiers become unknown")
+	return ""
+}
+
+func (r *records) handOver(ctx context.Context, peer string, messages []snipeonce.Handover) bool {
+	for _, h := range messages {
+		callCtx, cancel := context.WithTimeout(ctx, handoverTimeout)
+		reply, err := snipepeer.Call[*snipewire.RecordsHandoverReply](callCtx, r.node, peer, handoverTo(h))
+		cancel()
+		if err != nil || !reply.GetAccepted() {
+			r.log.Debug("hand-over not accepted", zap.String("peer", peer), zap.Error(err))
+			return false
+		}
+	}
+	return true
+}
+
+// update sends the results of requests that ended after the hand-over.
+func (r *records) update(ctx context.Context, peer string) {
+	if peer != "" {
+		r.handOver(ctx, peer, []snipeonce.Handover{r.table.Updates(r.clock.Now())})
+	}
+}
+
+func (r *records) acceptHandover(q *snipewire.RecordsHandover) (*snipewire.RecordsHandoverReply, error) {
+	h, err := handoverFrom(q)
+	if err != nil {
+		return nil, fmt.Errorf("hand-over of %s: %w", q.GetIncarnation(), err)
+	}
+	return &snipewire.RecordsHandoverReply{Accepted: r.table.Import(h, r.clock.Now())}, nil
+}
--- /dev/null
+++ b/snipedaemon/slots.go
@@ -0,0 +1,466 @@
+package snipedaemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/snipemoor/snipemoor/snipeconfig"
+	"github.com/snipemoor/snipemoor/snipepeer"
+	"github.com/snipemoor/snipemoor/sniperoute"
+	"github.com/snipemoor/snipemoor/snipeslot"
+	"github.com/snipemoor/snipemoor/snipetime"
+	"github.com/snipemoor/snipemoor/snipewire"
+)
+
+const (
+	// slotPeriod is the time between ticks of owners and holder.
+	slotPeriod = 50 * time.Millisecond
+	// renewPeriod is the time between renewals of grants. It is a fifth of the
+	// time to live, so that lost renewals do not end an attempt.
+	renewPeriod = time.Second
+	// pendingRenewals bounds the renewal lists kept for their replies, per group.
+	pendingRenewals = 8
+)
+
+// groupConfig is what the configuration says of one slot group.
+type groupConfig struct {
+	name     string
+	team     *snipeconfig.Team
+	template *snipeconfig.Template
+	targets  []snipeconfig.Target
+}
+
+// slotOwner is a group that this instance owns.
+type slotOwner struct {
+	config  groupConfig
+	epoch   uint64
+	owner   *snipeslot.Owner
+	chooser *sniperoute.Chooser
+}
+
+// slotWaiter is a request of this instance for a slot.
+type slotWaiter struct {
+	group string
+	reply chan slotAnswer
+	// revoke cancels the attempt when its grant could not be renewed.
+	revoke func()
+}
+
+// slotAnswer is the end of a slotWaiter's wait.
+type slotAnswer struct {
+	target     string
+	reason     snipeslot.Reason
+	retryAfter time.Duration
+}
+
+// slotRequest asks for a slot of a group of the own region.
+type slotRequest struct {
+	group     string
+	attemptID string
+	budget    time.Duration
+	maxWait   time.Duration
+	excluded  []string
+	hedge     bool
+	revoke    func()
+}
+
+// sentRenewal is a renewal list without a reply.
+type sentRenewal struct {
+	at   snipetime.Instant
+	list snipeslot.Renew
+}
+
+// slots runs the owners of the groups of held positions and the holder of the
+// attempts of this instance.
+type slots struct {
+	log    *zap.Logger
+	clock  timer
+	node   *snipepeer.Node
+	self   identity
+	member snipeslot.Member
+	probes *probes
+	// draining reports whether a target gets no new grant.
+	draining func(groupConfig, snipeconfig.Target) bool
+
+	mu      sync.Mutex
+	random  *rand.Rand
+	holder  *snipeslot.Holder
+	groups  map[string]groupConfig
+	owners  map[string]*slotOwner
+	holders []positionHolder
+	members []snipeslot.Member
+	waiters map[string]*slotWaiter
+	renewed map[string][]sentRenewal
+}
+
+func newSlots(log *zap.Logger, clock timer, node *snipepeer.Node, self identity, probes *probes) *slots {
+	member := snipeslot.Member{Address: self.peerAddress, Incarnation: self.incarnation}
+	s := &slots{
+		log: log, clock: clock, node: node, self: self, member: member, probes: probes,
+		draining: func(groupConfig, snipeconfig.Target) bool { return false },
+		random:   rand.New(rand.NewPCG(self.seed, 3)),
+		holder:   snipeslot.NewHolder(member, 0),
+		groups:   make(map[string]groupConfig),
+		owners:   make(map[string]*slotOwner),
+		waiters:  make(map[string]*slotWaiter),
+		renewed:  make(map[string][]sentRenewal),
+	}
+	snipepeer.HandleSend(node, func(from snipepeer.Peer, m *snipewire.SlotAcquire) { s.handleAcquire(from, m) })
+	snipepeer.HandleSend(node, func(_ snipepeer.Peer, m *snipewire.SlotReply) { s.handleReply(replyFrom(m)) })
+	snipepeer.HandleSend(node, func(from snipepeer.Peer, m *snipewire.SlotRelease) { s.handleRelease(from, m) })
+	snipepeer.HandleSend(node, func(from snipepeer.Peer, m *snipewire.SlotCancel) { s.handleCancel(from, m) })
+	snipepeer.HandleSend(node, func(from snipepeer.Peer, m *snipewire.SlotRenew) { s.handleRenew(from, m) })
+	snipepeer.HandleSend(node, func(_ snipepeer.Peer, m *snipewire.SlotRenewReply) { s.handleRenewReply(m) })
+	return s
+}
+
+// configure replaces the groups of the region.
+func (s *slots) configure(now snipetime.Instant, groups map[string]groupConfig) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.groups = groups
+	for name, o := range s.owners {
+		g, ok := groups[name]
+		if !ok {
+			// The owner still serves the attempts that run at removed targets.
+			g = groupConfig{name: name, team: o.config.team, template: o.config.template}
+		}
+		o.config = g
+		s.configureOwner(now, o)
+	}
+	s.assign(now, nil)
+}
+
+// refresh applies changes of draining targets to the groups that are owned.
+func (s *slots) refresh(now snipetime.Instant) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, o := range s.owners {
+		s.configureOwner(now, o)
+	}
+}
+
+func (s *slots) configureOwner(now snipetime.Instant, o *slotOwner) {
+	targets := make([]snipeslot.Target, len(o.config.targets))
+	addresses := make([]string, len(o.config.targets))
+	for i, t := range o.config.targets {
+		targets[i] = snipeslot.Target{
+			Address:  t.Address().String(),
+			Slots:    o.config.template.SlotsPerTarget(),
+			Draining: s.draining(o.config, t),
+		}
+		addresses[i] = targets[i].Address
+	}
+	s.deliver(o.owner.Configure(now, targets))
+	s.probes.set(o.config.name, addresses, o.config.template, func(address string, p sniperoute.Probe) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		o.chooser.Probe(s.clock.Now(), address, p)
+	})
+}
+
+// setHolders takes the leases held here and the newest holders of the region's
+// positions.
+func (s *slots) setHolders(now snipetime.Instant, leases map[int]leaseSpan, holders []positionHolder) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.holders = holders
+	s.assign(now, leases)
+}
+
+// leaseSpan is the epoch and the end of a lease held here.
+type leaseSpan struct {
+	epoch uint64
+	until snipetime.Instant
+}
+
+// assign creates and drops owners as positions come and go, and tells the holder
+// which epoch owns each group. A nil leases keeps the owners as they are.
+func (s *slots) assign(now snipetime.Instant, leases map[int]leaseSpan) {
+	if len(s.holders) == 0 {
+		return
+	}
+	for name, g := range s.groups {
+		index := snipeslot.Position(name, len(s.holders))
+		if leases != nil {
+			s.assignOwner(now, g, leases[index])
+		}
+		if epoch := s.holders[index].epoch; epoch > 0 {
+			for _, id := range s.holder.OwnerChanged(name, epoch) {
+				s.answer(id, slotAnswer{reason: snipeslot.ReasonLeaseLapsed})
+			}
+		}
+	}
+}
+
+func (s *slots) assignOwner(now snipetime.Instant, g groupConfig, span leaseSpan) {
+	o, owned := s.owners[g.name]
+	if owned && o.epoch != span.epoch {
+		delete(s.owners, g.name)
+		s.probes.set(g.name, nil, g.template, nil)
+		owned = false
+	}
+	if span.epoch == 0 {
+		return
+	}
+	if !owned {
+		o = s.newOwner(now, g, span.epoch)
+		s.owners[g.name] = o
+	}
+	o.owner.SetLease(span.until)
+	if !owned {
+		s.deliver(o.owner.SetMembers(now, s.members))
+		s.configureOwner(now, o)
+	}
+}
+
+func (s *slots) newOwner(now snipetime.Instant, g groupConfig, epoch uint64) *slotOwner {
+	settings := sniperoute.ChooserSettings{SlowStart: g.template.SlowStart()}
+	chooser := sniperoute.NewChooser(settings, rand.New(rand.NewPCG(s.random.Uint64(), epoch)))
+	owner := snipeslot.NewOwner(snipeslot.Settings{Group: g.name, Epoch: epoch}, chooser, now)
+	return &slotOwner{config: g, epoch: epoch, owner: owner, chooser: chooser}
+}
+
+// setMembers states the instances of the region that can hold grants.
+func (s *slots) setMembers(now snipetime.Instant, members []snipeslot.Member) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if slices.Equal(s.members, members) {
+		return
+	}
+	s.members = members
+	for _, o := range s.owners {
+		s.deliver(o.owner.SetMembers(now, members))
+	}
+}
+
+// acquire waits for a slot of a group of the own region.
+func (s *slots) acquire(ctx context.Context, r slotRequest) (target string, refusal *slotRefusal) {
+	w := &slotWaiter{group: r.group, reply: make(chan slotAnswer, 1), revoke: r.revoke}
+	s.mu.Lock()
+	now := s.clock.Now()
+	message, ok := s.holder.Begin(now, snipeslot.Acquire{
+		Group: r.group, AttemptID: r.attemptID, Budget: r.budget, MaximumWait: r.maxWait,
+		Excluded: r.excluded, Hedge: r.hedge,
+	})
+	if !ok {
+		_, known := s.groups[r.group]
+		s.mu.Unlock()
+		if !known {
+			return "", &slotRefusal{reason: snipeslot.ReasonNoTarget}
+		}
+		return "", &slotRefusal{reason: snipeslot.ReasonLeaseLapsed, retryAfter: time.Second}
+	}
+	s.waiters[r.attemptID] = w
+	s.sendAcquire(now, message)
+	s.mu.Unlock()
+	select {
+	case a := <-w.reply:
+		if a.reason != snipeslot.ReasonNone {
+			return "", &slotRefusal{reason: a.reason, retryAfter: a.retryAfter}
+		}
+		return a.target, nil
+	case <-ctx.Done():
+	}
+	return "", s.abandon(r.attemptID, w)
+}
+
+// slotRefusal says why there is no slot. No target has begun the attempt.
+type slotRefusal struct {
+	reason     snipeslot.Reason
+	retryAfter time.Duration
+}
+
+// abandon withdraws a request whose context ended. A grant that arrived in the
+// meantime is released.
+func (s *slots) abandon(attemptID string, w *slotWaiter) *slotRefusal {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.waiters, attemptID)
+	if c, ok := s.holder.Abandon(attemptID); ok {
+		s.sendCancel(c)
+	} else if release, running := s.holder.Finish(attemptID, snipeslot.OutcomeCancelled, 0); running {
+		s.sendRelease(release)
+	}
+	select {
+	case a := <-w.reply:
+		if a.reason != snipeslot.ReasonNone {
+			return &slotRefusal{reason: a.reason, retryAfter: a.retryAfter}
+		}
+	default:
+	}
+	return &slotRefusal{reason: snipeslot.ReasonDeadline}
+}
+
+// finish ends an attempt and frees its slot.
+func (s *slots) finish(attemptID string, outcome snipeslot.Outcome, latency time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.waiters, attemptID)
+	if release, ok := s.holder.Finish(attemptID, outcome, latency); ok {
+		s.sendRelease(release)
+	}
+}
+
+func (s *slots) tick(now snipetime.Instant) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, o := range s.owners {
+		s.deliver(o.owner.Tick(now))
+	}
+	due := s.holder.Tick(now)
+	s.cancelAll(due.Cancel)
+	for _, c := range due.Lost {
+		s.answer(c.AttemptID, slotAnswer{reason: snipeslot.ReasonNoSlot})
+		s.sendCancel(c)
+	}
+}
+
+// renew sends the lists of running attempts to the owners.
+func (s *slots) renew(now snipetime.Instant) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, list := range s.holder.Renewals() {
+		sent := append(s.renewed[list.Group], sentRenewal{at: now, list: list})
+		s.renewed[list.Group] = sent[max(0, len(sent)-pendingRenewals):]
+		if o, local := s.localOwner(list.Group); local {
+			reply, served := o.owner.Renew(now, list)
+			s.takeRenewReply(reply)
+			s.deliver(served)
+			continue
+		}
+		_ = s.node.Send(s.ownerAddress(list.Group), renewTo(list))
+	}
+}
+
+func (s *slots) takeRenewReply(reply snipeslot.RenewReply) {
+	for _, sent := range s.renewed[reply.Group] {
+		if sent.list.Epoch == reply.Epoch && sent.list.Sequence == reply.Sequence {
+			s.cancelAll(s.holder.Renewed(sent.at, sent.list, reply))
+			return
+		}
+	}
+}
+
+// cancelAll cancels attempts without a valid grant.
+func (s *slots) cancelAll(attemptIDs []string) {
+	for _, id := range attemptIDs {
+		w, ok := s.waiters[id]
+		if !ok {
+			continue
+		}
+		s.log.Warn("attempt cancelled without a grant", zap.String("attempt", id), zap.String("group", w.group))
+		if w.revoke != nil {
+			w.revoke()
+		}
+	}
+}
+
+// answer ends the wait of a request of this instance.
+func (s *slots) answer(attemptID string, a slotAnswer) {
+	w, ok := s.waiters[attemptID]
+	if !ok {
+		return
+	}
+	if a.reason != snipeslot.ReasonNone {
+		delete(s.waiters, attemptID)
+	}
+	select {
+	case w.reply <- a:
+	default:
+	}
+}
+
+// loads returns the summaries of all owned groups.
+func (s *slots) loads() []snipeslot.Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	loads := make([]snipeslot.Load, 0, len(s.owners))
+	for _, o := range s.owners {
+		loads = append(loads, o.owner.Load())
+	}
+	slices.SortFunc(loads, func(a, b snipeslot.Load) int { return strings.Compare(a.Group, b.Group) })
+	return loads
+}
+
+// running returns the number of attempts of this instance.
+func (s *slots) running() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.holder.Running()
+}
+
+func (s *slots) localOwner(group string) (*slotOwner, bool) {
+	o, ok := s.owners[group]
+	return o, ok
+}
+
+// ownerAddress returns the peer address of the newest known owner of a group.
+func (s *slots) ownerAddress(group string) string {
+	if len(s.holders) == 0 {
+		return ""
+	}
+	return s.holders[snipeslot.Position(group, len(s.holders))].address
+}
+
+// ownerOf returns the owner of a group for status output.
+func (s *slots) ownerOf(group string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ownerAddress(group)
+}
+
+// groupNames returns the names of the groups of a service in a place of the
+// own region.
+func groupNames(team, service, place string, targets []snipeconfig.Target) []string {
+	addresses := make([]string, len(targets))
+	for i, t := range targets {
+		addresses[i] = t.Address().String()
+	}
+	parts := snipeslot.Split(addresses)
+	names := make([]string, len(parts))
+	for i := range parts {
+		names[i] = snipeslot.GroupName(team, service, place, i)
+	}
+	return names
+}
+
+// groupsOf returns the slot groups of all services in the places of a region.
+func groupsOf(snapshot *snipeconfig.Snapshot, region string) map[string]groupConfig {
+	groups := make(map[string]groupConfig)
+	for _, team := range snapshot.Teams() {
+		for _, service := range team.Services() {
+			for _, place := range service.Places() {
+				if place.Region().Name() == region {
+					addGroups(groups, service, place.Name())
+				}
+			}
+		}
+	}
+	return groups
+}
+
+func addGroups(groups map[string]groupConfig, service *snipeconfig.Service, place string) {
+	targets := make(map[string]snipeconfig.Target)
+	var addresses []string
+	for _, t := range service.TargetsIn(place) {
+		targets[t.Address().String()] = t
+		addresses = append(addresses, t.Address().String())
+	}
+	for i, part := range snipeslot.Split(addresses) {
+		g := groupConfig{
+			name: snipeslot.GroupName(service.Team().Name(), service.Name(), place, i),
+			team: service.Team(), template: service.Template(),
+		}
+		for _, address := range part {
+			g.targets = append(g.targets, targets[address])
+		}
+		groups[g.name] = g
+	}
+}
--- /dev/null
+++ b/snipedaemon/slotwire.go
@@ -0,0 +1,190 @@
+package snipedaemon
+
+import (
+	"time"
+
+	"github.com/snipemoor/snipemoor/snipepeer"
+	"github.com/snipemoor/snipemoor/snipeslot"
+	"github.com/snipemoor/snipemoor/snipetime"
+	"github.com/snipemoor/snipemoor/snipewire"
+)
+
+func memberOf(p snipepeer.Peer) snipeslot.Member {
+	return snipeslot.Member{Address: p.Address, Incarnation: p.Incarnation}
+}
+
+// sendAcquire passes a request to the owner of its group, which can be this
+// instance. The caller holds the lock.
+func (s *slots) sendAcquire(now snipetime.Instant, a snipeslot.Acquire) {
+	if o, local := s.localOwner(a.Group); local {
+		s.deliver([]snipeslot.Reply{o.owner.Acquire(now, a)})
+		return
+	}
+	err := s.node.Send(s.ownerAddress(a.Group), &snipewire.SlotAcquire{
+		Group: a.Group, AttemptId: a.AttemptID, BudgetMillis: millis(a.Budget),
+		Excluded: a.Excluded, Hedge: a.Hedge, MaxWaitMillis: millis(a.MaximumWait),
+	})
+	if err != nil {
+		s.holder.Abandon(a.AttemptID)
+		s.answer(a.AttemptID, slotAnswer{reason: snipeslot.ReasonNoSlot})
+	}
+}
+
+func (s *slots) handleAcquire(from snipepeer.Peer, m *snipewire.SlotAcquire) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	member := memberOf(from)
+	o, local := s.localOwner(m.GetGroup())
+	if !local {
+		s.deliver([]snipeslot.Reply{{
+			Group: m.GetGroup(), AttemptID: m.GetAttemptId(), To: member,
+			State: snipeslot.Refused, Reason: snipeslot.ReasonLeaseLapsed, RetryAfter: time.Second,
+		}})
+		return
+	}
+	s.deliver([]snipeslot.Reply{o.owner.Acquire(s.clock.Now(), snipeslot.Acquire{
+		Group: m.GetGroup(), AttemptID: m.GetAttemptId(), From: member,
+		Budget: fromMillis(m.GetBudgetMillis()), MaximumWait: fromMillis(m.GetMaxWaitMillis()),
+		Excluded: m.GetExcluded(), Hedge: m.GetHedge(),
+	})})
+}
+
+// deliver passes replies of owned groups to their grantees. The caller holds
+// the lock.
+func (s *slots) deliver(replies []snipeslot.Reply) {
+	for _, r := range replies {
+		if r.To == s.member {
+			s.takeReply(r)
+			continue
+		}
+		// A lost reply costs the slot until the grant's time to live ends.
+		_ = s.node.Send(r.To.Address, replyTo(r))
+	}
+}
+
+func (s *slots) handleReply(r snipeslot.Reply) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.takeReply(r)
+}
+
+func (s *slots) takeReply(r snipeslot.Reply) {
+	verdict, release := s.holder.Answer(s.clock.Now(), r)
+	switch verdict {
+	case snipeslot.Start:
+		s.answer(r.AttemptID, slotAnswer{target: r.Target})
+	case snipeslot.Refuse:
+		s.answer(r.AttemptID, slotAnswer{reason: r.Reason, retryAfter: r.RetryAfter})
+	case snipeslot.Return:
+		s.sendRelease(release)
+	case snipeslot.Enqueued, snipeslot.Ignore:
+	}
+}
+
+func (s *slots) sendRelease(r snipeslot.Release) {
+	if o, local := s.localOwner(r.Group); local {
+		s.deliver(o.owner.Release(s.clock.Now(), r))
+		return
+	}
+	// A lost release is noticed with the next renewal list.
+	_ = s.node.Send(s.ownerAddress(r.Group), &snipewire.SlotRelease{
+		Group: r.Group, AttemptId: r.AttemptID, GrantId: r.GrantID, Target: r.Target,
+		LatencyMicros: uint32(r.Latency.Microseconds()), Outcome: string(r.Outcome),
+	})
+}
+
+func (s *slots) handleRelease(from snipepeer.Peer, m *snipewire.SlotRelease) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if o, local := s.localOwner(m.GetGroup()); local {
+		s.deliver(o.owner.Release(s.clock.Now(), snipeslot.Release{
+			Group: m.GetGroup(), AttemptID: m.GetAttemptId(), From: memberOf(from), GrantID: m.GetGrantId(),
+			Target: m.GetTarget(), Latency: time.Duration(m.GetLatencyMicros()) * time.Microsecond,
+			Outcome: snipeslot.Outcome(m.GetOutcome()),
+		}))
+	}
+}
+
+func (s *slots) sendCancel(c snipeslot.Cancel) {
+	if o, local := s.localOwner(c.Group); local {
+		s.deliver(o.owner.Cancel(s.clock.Now(), c))
+		return
+	}
+	_ = s.node.Send(s.ownerAddress(c.Group), &snipewire.SlotCancel{Group: c.Group, AttemptId: c.AttemptID})
+}
+
+func (s *slots) handleCancel(from snipepeer.Peer, m *snipewire.SlotCancel) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if o, local := s.localOwner(m.GetGroup()); local {
+		s.deliver(o.owner.Cancel(s.clock.Now(), snipeslot.Cancel{
+			Group: m.GetGroup(), AttemptID: m.GetAttemptId(), From: memberOf(from),
+		}))
+	}
+}
+
+func (s *slots) handleRenew(from snipepeer.Peer, m *snipewire.SlotRenew) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, local := s.localOwner(m.GetGroup())
+	if !local {
+		return
+	}
+	reply, served := o.owner.Renew(s.clock.Now(), renewFrom(from, m))
+	_ = s.node.Send(from.Address, &snipewire.SlotRenewReply{
+		Group: reply.Group, Epoch: reply.Epoch, Sequence: reply.Sequence,
+		Accepted: reply.Accepted, UnknownAttempts: reply.Unknown,
+	})
+	s.deliver(served)
+}
+
+func (s *slots) handleRenewReply(m *snipewire.SlotRenewReply) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.takeRenewReply(snipeslot.RenewReply{
+		Group: m.GetGroup(), Epoch: m.GetEpoch(), Sequence: m.GetSequence(),
+		Accepted: m.GetAccepted(), Unknown: m.GetUnknownAttempts(),
+	})
+}
+
+func renewTo(list snipeslot.Renew) *snipewire.SlotRenew {
+	m := &snipewire.SlotRenew{Group: list.Group, Epoch: list.Epoch, Sequence: list.Sequence}
+	for _, a := range list.Attempts {
+		m.Attempts = append(m.Attempts, &snipewire.RunningAttempt{AttemptId: a.AttemptID, GrantId: a.GrantID, Target: a.Target})
+	}
+	return m
+}
+
+func renewFrom(from snipepeer.Peer, m *snipewire.SlotRenew) snipeslot.Renew {
+	list := snipeslot.Renew{Group: m.GetGroup(), From: memberOf(from), Epoch: m.GetEpoch(), Sequence: m.GetSequence()}
+	for _, a := range m.GetAttempts() {
+		list.Attempts = append(list.Attempts, snipeslot.Running{
+			AttemptID: a.GetAttemptId(), GrantID: a.GetGrantId(), Target: a.GetTarget(),
+		})
+	}
+	return list
+}
+
+func replyTo(r snipeslot.Reply) *snipewire.SlotReply {
+	return &snipewire.SlotReply{
+		Group: r.Group, AttemptId: r.AttemptID, GrantId: r.GrantID, Target: r.Target,
+		TimeToLiveMillis: millis(r.TimeToLive), Reason: string(r.Reason),
+		RetryAfterMillis: millis(r.RetryAfter), State: snipewire.SlotReply_State(r.State), Epoch: r.Epoch,
+	}
+}
+
+func replyFrom(m *snipewire.SlotReply) snipeslot.Reply {
+	return snipeslot.Reply{
+		Group: m.GetGroup(), AttemptID: m.GetAttemptId(), GrantID: m.GetGrantId(), Target: m.GetTarget(),
+		TimeToLive: fromMillis(m.GetTimeToLiveMillis()), Reason: snipeslot.Reason(m.GetReason()),
+		RetryAfter: fromMillis(m.GetRetryAfterMillis()), State: snipeslot.State(m.GetState()), Epoch: m.GetEpoch(),
+	}
+}
+
+// millis rounds a duration down to whole milliseconds for the wire.
+func millis(d time.Duration) uint32 {
+	const largest = 1<<32 - 1
+	return uint32(min(max(d.Milliseconds(), 0), largest))
+}
+
+func fromMillis(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
--- /dev/null
+++ b/snipedaemon/stop.go
@@ -0,0 +1,74 @@
+package snipedaemon
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/snipemoor/snipemoor/snipelookup"
+	"github.com/snipemoor/snipemoor/snipemember"
+)
+
+// drainPoll is the time between looks at what is still in flight.
+const drainPoll = 20 * time.Millisecond
+
+// stop performs a planned stop. The order matters: callers stop coming before
+// calls are refused, calls are refused before the records are handed over, and
+// positions are released only when no loan of them is in use.
+func (d *Daemon) stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.stopTimeout)
+	defer cancel()
+	d.log.Info("stop begins")
+	d.stopping.Store(true)
+	d.members.beat(d.clock.Now())
+	d.trigger()
+	d.members.deregister(ctx)
+	sleep(ctx, snipelookup.TimeToLive)
+	d.forward.refuse()
+	successor := d.records.close(ctx, d.successors())
+	now := d.clock.Now()
+	d.limits.returnAll(now)
+	d.positions.release(now)
+	d.waitFor(ctx, "requests", func() bool { return d.forward.inFlight() == 0 && d.slots.running() == 0 })
+	d.records.update(ctx, successor)
+	d.waitFor(ctx, "loans", func() bool { return !d.limits.loansEnd(d.clock.Now()).After(d.clock.Now()) })
+	d.positions.loansEnded(d.clock.Now())
+	releaseCtx, cancelRelease := context.WithTimeout(ctx, releaseTimeout)
+	defer cancelRelease()
+	d.waitFor(releaseCtx, "positions", d.positions.released)
+	d.log.Info("stop complete")
+}
+
+// releaseTimeout bounds the wait for the store when positions are released. A
+// position that is not released lapses.
+const releaseTimeout = 3 * time.Second
+
+// waitFor waits until done or the end of ctx.
+func (d *Daemon) waitFor(ctx context.Context, what string, done func() bool) {
+	for !done() {
+		if ctx.Err() != nil {
+			d.log.Warn("stop goes on without waiting longer", zap.String("for", what))
+			return
+		}
+		sleep(ctx, drainPoll)
+	}
+}
+
+// successors returns the live members that can take the records over, those of
+// the own region first.
+func (d *Daemon) successors() []snipemember.Member {
+	region := d.region()
+	var own, others []snipemember.Member
+	for _, m := range d.members.view.Snapshot().Members() {
+		if m.Address == d.self.address || m.State != snipemember.Live {
+			continue
+		}
+		if m.Region == region {
+			own = append(own, m)
+		} else {
+			others = append(others, m)
+		}
+	}
+	return append(own, others...)
+}
--- a/snipeforward/doc.go
+++ b/snipeforward/doc.go
@@ -1,6 +1,13 @@
-// Package snipeforward serves the callers' interface: it forwards one request
-// to a target of its place and streams the answer back.
+// Package snipeforward serves the callers' interface of an entry instance.
 //
-// This version makes one attempt in the own place. Requests of class once are
-// refused, because at-most-once records are not connected yet.
+// A Forwarder takes a request through its steps: it finds the service, decides
+// about requests of class once, plans the places, acquires tokens and a slot,
+// makes attempts at targets of the own region or relays them to an instance of
+// another region, retries within a budget, and streams the response back. It
+// also serves the requests that other instances relay to it, with exactly one
+// attempt each. Everything it decides with is behind small interfaces.
+//
+// The outcome not-run is sent only where no target can have begun the request
+// and none will. A response that is cut short ends the connection of the caller
+// with an error, never with a clean end.
 package snipeforward
--- /dev/null
+++ b/snipeforward/headers.go
@@ -0,0 +1,108 @@
+package snipeforward
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/snipemoor/snipemoor/snipeonce"
+	"github.com/snipemoor/snipemoor/snipewire"
+)
+
+// Headers of the callers' interface.
+const (
+	headerOutcome    = "Snipemoor-Outcome"
+	headerRequestID  = "Snipemoor-Request-Id"
+	headerGeneration = "Snipemoor-Generation"
+	headerReason     = "Snipemoor-Reason"
+	headerTimeout    = "Snipemoor-Timeout"
+	headerKey        = "Idempotency-Key"
+)
+
+// hopByHop lists headers that belong to one connection (RFC 9110, section 7.6.1)
+// and the older ones that clients still send.
+func hopByHop() []string {
+	return []string{
+		"Connection", "Expect", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+		"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	}
+}
+
+// endToEnd returns a copy of h without hop-by-hop headers.
+func endToEnd(h http.Header) http.Header {
+	c := h.Clone()
+	if c == nil {
+		c = make(http.Header)
+	}
+	for _, line := range h["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			c.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop() {
+		c.Del(name)
+	}
+	return c
+}
+
+// requestHeader returns the headers for the target. End-to-end headers stay
+// unchanged, except that the identifier and the remaining budget are set.
+func requestHeader(h http.Header, id string, budget time.Duration) http.Header {
+	c := endToEnd(h)
+	c.Set(headerRequestID, id)
+	c.Set(headerTimeout, budget.String())
+	return c
+}
+
+// answerHeader returns the headers of a target's response without those that
+// only this system may set.
+func answerHeader(h http.Header) http.Header {
+	c := endToEnd(h)
+	for _, name := range []string{headerOutcome, headerRequestID, headerGeneration, headerReason} {
+		c.Del(name)
+	}
+	return c
+}
+
+// headerBytes returns the size of names and values.
+func headerBytes(h http.Header) int64 {
+	n := 0
+	for name, values := range h {
+		for _, v := range values {
+			n += len(name) + len(v)
+		}
+	}
+	return int64(n)
+}
+
+func headerToWire(h http.Header) []*snipewire.Header {
+	out := make([]*snipewire.Header, 0, len(h))
+	for name, values := range h {
+		out = append(out, &snipewire.Header{Name: name, Values: values})
+	}
+	return out
+}
+
+func headerFromWire(headers []*snipewire.Header) http.Header {
+	h := make(http.Header, len(headers))
+	for _, x := range headers {
+		h[http.CanonicalHeaderKey(x.GetName())] = x.GetValues()
+	}
+	return h
+}
+
+func headerToRecord(h http.Header) []snipeonce.Header {
+	out := make([]snipeonce.Header, 0, len(h))
+	for name, values := range h {
+		out = append(out, snipeonce.Header{Name: name, Values: values})
+	}
+	return out
+}
+
+func headerFromRecord(headers []snipeonce.Header) http.Header {
+	h := make(http.Header, len(headers))
+	for _, x := range headers {
+		h[x.Name] = x.Values
+	}
+	return h
+}
--- /dev/null
+++ b/snipeforward/metrics.go
@@ -0,0 +1,70 @@
+package snipeforward
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/snipemoor/snipemoor/snipetime"
+)
+
+// metrics counts what callers are told and why.
+type metrics struct {
+	requests *prometheus.CounterVec
+	refusals *prometheus.CounterVec
+	retries  *prometheus.CounterVec
+	attempts *prometheus.CounterVec
+	spills   *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+}
+
+func newMetrics(registry prometheus.Registerer) *metrics {
+	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, labels)
+	}
+	m := &metrics{
+		requests: counter("snipemoor_requests_total", "Requests by outcome.", "team", "service", "outcome"),
+		refusals: counter("snipemoor_refusals_total", "Refusals by reason and outcome.", "team", "service", "reason", "outcome"),
+		retries:  counter("snipemoor_retries_total", "Retries and hedges by reason.", "team", "service", "reason"),
+		attempts: counter("snipemoor_attempts_total", "Attempts sent to targets or relayed.", "team", "service", "kind"),
+		spills:   counter("snipemoor_passed_over_total", "Places passed over by reason.", "team", "service", "reason"),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "snipemoor_request_seconds", Help: "Time from the headers of a request to the end of its response.",
+			Buckets: prometheus.ExponentialBuckets(0.001, 2, 16),
+		}, []string{"team", "service"}),
+	}
+	registry.MustRegister(m.requests, m.refusals, m.retries, m.attempts, m.spills, m.latency)
+	return m
+}
+
+func (m *metrics) ended(s Service, e end) {
+	m.requests.WithLabelValues(s.Team, s.Name, e.outcome).Inc()
+	m.refusals.WithLabelValues(s.Team, s.Name, e.reason, e.outcome).Inc()
+}
+
+// observer counts how a request ended for its caller.
+type observer struct {
+	sink
+	metrics *metrics
+	service Service
+	clock   Clock
+	started snipetime.Instant
+}
+
+// Begin implements sink.
+func (o *observer) Begin(status int, header http.Header, length int64) error {
+	o.metrics.requests.WithLabelValues(o.service.Team, o.service.Name, outcomeDone).Inc()
+	return o.sink.Begin(status, header, length) //nolint:wrapcheck // passes on what the sink says
+}
+
+// Complete implements sink.
+func (o *observer) Complete() error {
+	o.metrics.latency.WithLabelValues(o.service.Team, o.service.Name).Observe(o.clock.Now().Sub(o.started).Seconds())
+	return o.sink.Complete() //nolint:wrapcheck // passes on what the sink says
+}
+
+// Refuse implements sink.
+func (o *observer) Refuse(e end) {
+	o.metrics.ended(o.service, e)
+	o.sink.Refuse(e)
+}
--- /dev/null
+++ b/snipeforward/reasons.go
@@ -0,0 +1,52 @@
+package snipeforward
+
+import "net/http"
+
+// Reasons of refusals that this package decides itself; the others come from
+// the decision packages with the same values.
+const (
+	reasonNoConfiguration   = "noConfiguration"
+	reasonUnknownService    = "unknownService"
+	reasonUnknownTeam       = "unknownTeam"
+	reasonBadRequestID      = "badRequestId"
+	reasonBadTimeout        = "badTimeout"
+	reasonBadLookup         = "badLookup"
+	reasonHeaderTooLarge    = "headerTooLarge"
+	reasonBodyTooLarge      = "bodyTooLarge"
+	reasonBodyCut           = "bodyCut"
+	reasonStopping          = "stopping"
+	reasonNoTarget          = "noTarget"
+	reasonNoSlot            = "noSlot"
+	reasonRelayFailed       = "relayFailed"
+	reasonIssuerUnreachable = "issuerUnreachable"
+	reasonDeadline          = "deadline"
+	reasonTargetFailed      = "targetFailed"
+	reasonCallerGone        = "callerGone"
+)
+
+// statusOf returns the HTTP status of a refusal.
+func statusOf(reason string) int {
+	switch reason {
+	case reasonUnknownTeam, reasonUnknownService:
+		return http.StatusNotFound
+	case reasonBadRequestID, reasonBadTimeout, reasonBadLookup, reasonBodyCut:
+		return http.StatusBadRequest
+	case reasonHeaderTooLarge:
+		return http.StatusRequestHeaderFieldsTooLarge
+	case reasonBodyTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case reasonDeadline:
+		return http.StatusGatewayTimeout
+	case reasonTargetFailed, reasonRelayFailed, reasonIssuerUnreachable, "connectionLost", "dialFailed":
+		return http.StatusBadGateway
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+// Outcomes, the values of the header Snipemoor-Outcome.
+const (
+	outcomeDone    = "done"
+	outcomeNotRun  = "not-run"
+	outcomeUnknown = "unknown"
+)
