Read position records with the revision of the store

A listing tells the revision, by which snipelease ignores an older answer; a plain get does not. Settings that disagree with the fleet document on the location of the place are logged.

--- a/snipedaemon/positions.go
+++ b/snipedaemon/positions.go
@@ -269,19 +269,26 @@
 
 func (p *positions) key(index int) string { return fmt.Sprintf("positions/%s/%d", p.region, index) }
 
+// read reads a record through a listing, because only a listing tells the
+// revision of the store, by which an older answer is recognised.
 func (p *positions) read(a snipelease.ReadRecord) {
-	item, err := p.store.Get(context.Background(), p.key(a.Index))
+	key := p.key(a.Index)
+	items, revision, err := p.store.List(context.Background(), key)
 	result := snipelease.StoreResult{RequestID: a.RequestID, Outcome: snipelease.OutcomeUnclear}
-	switch {
-	case errors.Is(err, snipestore.ErrNotFound):
-		result.Outcome = snipelease.OutcomeRead
-	case err == nil:
-		record, decodeErr := decodeRecord(item.Value)
-		if decodeErr != nil {
-			p.log.Error("position record cannot be decoded", zap.String("key", item.Key), zap.Error(decodeErr))
-			break
+	if err == nil {
+		result.Outcome, result.Revision = snipelease.OutcomeRead, revision
+		for _, item := range items {
+			if item.Key != key {
+				continue
+			}
+			record, decodeErr := decodeRecord(item.Value)
+			if decodeErr != nil {
+				p.log.Error("position record cannot be decoded", zap.String("key", key), zap.Error(decodeErr))
+				result.Outcome = snipelease.OutcomeUnclear
+				break
+			}
+			result.Version, result.Record = item.Version, record
 		}
-		result.Outcome, result.Version, result.Record = snipelease.OutcomeRead, item.Version, record
 	}
 	p.finish(result)
 }
--- a/snipedaemon/reconcile.go
+++ b/snipedaemon/reconcile.go
@@ -64,6 +64,10 @@
 		return
 	}
 	region := place.Region().Name()
+	if region != d.settings.region || place.Domain().Name() != d.settings.failureDomain {
+		d.log.Error("settings and fleet document disagree on the location of the place", zap.String("place", d.self.place),
+			zap.String("region", region), zap.String("failureDomain", place.Domain().Name()))
+	}
 	d.regionMu.Lock()
 	d.regionOf = region
 	d.regionMu.Unlock()
