Bound the delay of relayed news before a former incarnation counts

A summary carries the number of summaries in which it has travelled, and a lesser or former incarnation is accepted only if its heartbeat was sent after the newest one of the known process. A greater identifier no longer displaces newer news. Delegates of a domain without live members are tried in turn: before, two domains whose chosen delegates were dead never met.

--- a/snipemember/mesh.go
+++ b/snipemember/mesh.go
@@ -60,8 +60,10 @@
 }
 
 // delegates returns the delegates of all domains. Suspect members are chosen
-// only where there are not enough others: after a start all members are suspect
-// until sessions exist.
+// only where there are not enough live ones: after a start all members are
+// suspect until sessions exist. The choice among them changes with time. A fixed
+// one could name only dead members, in each of two domains that then never hear
+// of each other.
 func (v *View) delegates() map[string]bool {
 	domains := make(map[string][]*entry)
 	for _, e := range v.members {
@@ -71,13 +73,26 @@
 	}
 	chosen := make(map[string]bool)
 	for domain, members := range domains {
-		for _, e := range rendezvous("delegate/"+domain, members, delegatesPerDomain) {
+		ordered := rendezvous("delegate/"+domain, members, len(members))
+		live := slices.IndexFunc(ordered, func(e *entry) bool { return e.State != Live })
+		if live < 0 {
+			live = len(ordered)
+		}
+		for _, e := range ordered[:min(live, delegatesPerDomain)] {
 			chosen[e.Address] = true
 		}
+		suspects := ordered[live:]
+		for i := range min(delegatesPerDomain-live, len(suspects)) {
+			chosen[suspects[(v.probeRound()*delegatesPerDomain+i)%len(suspects)].Address] = true
+		}
 	}
 	return chosen
 }
 
+// probeRound numbers the periods in which the same suspect delegates are tried.
+// A period leaves time for several heartbeats.
+func (v *View) probeRound() int { return int(v.now.Sub(0) / v.settings.RemoteSuspectAfter) }
+
 // Watches reports whether this instance holds the configuration watches: it is
 // one of two in the fleet, or the first of a region that has known no live
 // watcher for some seconds.
--- a/snipemember/summary.go
+++ b/snipemember/summary.go
@@ -137,6 +137,7 @@
 		Sequence: e.Sequence, Generation: e.Generation, ClockMillis: e.ClockMillis,
 		Leaving: e.selfLeaving, Ready: e.Ready, Watching: e.Watching,
 		Silent: e.State == Suspect || e.State == Gone, Age: v.now.Sub(e.Heard),
+		Relays: e.relays + 1,
 	}
 	return n
 }
@@ -149,7 +150,7 @@
 	for _, s := range []string{n.Address, n.PeerAddress, n.Incarnation, n.Place} {
 		size += 2 + len(s)
 	}
-	for _, x := range []uint64{n.Sequence, n.Generation, n.ClockMillis, uint64(n.Age.Milliseconds())} {
+	for _, x := range []uint64{n.Sequence, n.Generation, n.ClockMillis, uint64(n.Age.Milliseconds()), uint64(n.Relays)} {
 		size += 1 + varintSize(x)
 	}
 	for _, b := range []bool{n.Leaving, n.Ready, n.Watching, n.Silent} {
--- a/snipemember/types.go
+++ b/snipemember/types.go
@@ -32,8 +32,8 @@
 // wall-clock time in seconds: eight hexadecimal digits of the time and eight
 // random ones. A later start compares greater as a string unless the wall clock
 // stepped back or both starts fall into the same second. In these cases the new
-// process is accepted at its address once the old one has been silent for
-// SuspectAfter, or, in summaries, was heard DelayBound later than the old one.
+// process is accepted at its address once it is heard DelayBound later than the
+// old one, and in summaries later by DelayBound for each further message.
 func NewIncarnation(startSeconds int64, random *rand.Rand) string {
 	return fmt.Sprintf("%08x%08x", uint32(startSeconds), random.Uint32())
 }
@@ -63,6 +63,9 @@
 	Silent bool
 	// Age is how long ago the sender heard the instance.
 	Age time.Duration
+	// Relays counts the summaries in which the news has travelled, this one
+	// included. Each can have been delayed, so that Age is too low by the sum.
+	Relays uint32
 }
 
 // ListEntry is an instance of the platform's list.
@@ -96,8 +99,8 @@
 	Watching    bool
 	// Direct tells that the newest news came from the instance itself.
 	Direct bool
-	// Heard is a lower bound of the local instant of the newest heartbeat. It
-	// is meaningless while Incarnation is empty.
+	// Heard is an upper bound of the local instant at which the newest known
+	// heartbeat was sent. It is meaningless while Incarnation is empty.
 	Heard snipetime.Instant
 }
 
--- a/snipemember/view.go
+++ b/snipemember/view.go
@@ -5,6 +5,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/snipemoor/snipemoor/snipetime"
 )
@@ -20,6 +21,8 @@
 	selfLeaving bool
 	// told tells that the newest report called the member silent.
 	told bool
+	// relays counts the summaries that brought the news that set Heard.
+	relays uint32
 	// displaced holds former incarnations.
 	displaced formers
 	goneAt    snipetime.Instant
@@ -230,6 +233,9 @@
 // hear merges news of an instance. Direct news is from the instance itself.
 func (v *View) hear(events []Event, n News, direct bool) []Event {
 	heard := v.now.Add(-max(0, n.Age))
+	if direct {
+		n.Relays = 0
+	}
 	if !direct && v.members[n.Address] == nil && n.Age > v.settings.GoneAfter {
 		return events
 	}
@@ -238,12 +244,14 @@
 		if !v.displaces(e, n, heard, direct) {
 			return events
 		}
-		e.Heard = heard
+		e.Heard, e.relays = heard, n.Relays
 		events = v.restart(events, e, n.Incarnation)
 	} else if n.Sequence <= e.Sequence {
 		return v.repeated(events, e, n, direct)
 	}
-	e.Heard = max(e.Heard, heard)
+	if heard.After(e.Heard) {
+		e.Heard, e.relays = heard, n.Relays
+	}
 	e.Direct = direct
 	e.told = !direct && n.Silent
 	advanced := e.Generation != n.Generation
@@ -278,26 +286,29 @@
 }
 
 // displaces reports whether news of another incarnation replaces the known one.
-// A greater identifier is a later start, unless it was displaced before. Any
-// other is either late news of a former process, or a new process after the
-// wall clock stepped back. It counts only if it was sent after the known
-// process was last heard by more than messages are delayed, which a former
-// process cannot achieve, and is newer than all earlier news of it.
+// A greater identifier is a later start, unless it was displaced before or its
+// news is older than that of the known one. Any other is either late news of a
+// former process, or a new process after the wall clock stepped back. It counts
+// only if its heartbeat was sent after the newest one of the known process,
+// which a former process cannot achieve: Heard is not before the sending of the
+// known heartbeat, and heard exceeds the sending of the new one by at most
+// DelayBound for each message on its way.
 func (v *View) displaces(e *entry, n News, heard snipetime.Instant, direct bool) bool {
 	if n.Incarnation == "" {
 		return false
 	}
 	sequence, former := e.displaced.find(n.Incarnation)
 	if !former && n.Incarnation > e.Incarnation {
-		return true
+		return !heard.Before(e.Heard)
 	}
 	if former && n.Sequence <= sequence {
 		return false
 	}
-	if direct {
-		return heard.Sub(e.Heard) >= v.settings.SuspectAfter
+	messages := time.Duration(1)
+	if !direct {
+		messages += time.Duration(max(1, n.Relays))
 	}
-	return heard.Sub(e.Heard) >= v.settings.DelayBound
+	return heard.Sub(e.Heard) >= messages*v.settings.DelayBound
 }
 
 func (v *View) restart(events []Event, e *entry, incarnation string) []Event {
