Count loans of a former incarnation as outstanding in a planned stop

A process that restarted and stopped within the longest loan freed an inherited position while borrowers still used its units (combined test: the usable rates were above the limit).

--- a/snipelimit/ledger.go
+++ b/snipelimit/ledger.go
@@ -19,10 +19,13 @@
 	accounts map[string]*account
 	order    []*account
 	holdings []Holding
-	peers    []Peer
-	nextLoan int
-	lastTick snipetime.Instant
-	stopping bool
+	// inheritedEnd is when loans that an earlier incarnation made from an
+	// inherited position have ended, also after the position was released.
+	inheritedEnd snipetime.Instant
+	peers        []Peer
+	nextLoan     int
+	lastTick     snipetime.Instant
+	stopping     bool
 }
 
 // account is the state of one limit that only the ledger uses.
@@ -132,6 +135,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.holdings = slices.Clone(holdings)
+	for _, h := range holdings {
+		if h.Inherited {
+			l.inheritedEnd = max(l.inheritedEnd, h.Since.Add(l.cfg.MaxLoan+l.cfg.DriftMargin))
+		}
+	}
 	for _, a := range l.order {
 		a.bucket.mu.Lock()
 		a.bucket.change(now, func() { a.bucket.units.holdings = l.holdings })
@@ -179,12 +187,13 @@
 	return all
 }
 
-// OutstandingLoansEnd returns when the last loan made by this instance has ended
-// on its clock, margin included; now if there is none.
+// OutstandingLoansEnd returns when the last loan made by this instance, or by an
+// earlier incarnation from an inherited position, has ended on its clock, margin
+// included; now if there is none.
 func (l *Ledger) OutstandingLoansEnd(now snipetime.Instant) snipetime.Instant {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	end := now
+	end := max(now, l.inheritedEnd)
 	for _, a := range l.order {
 		a.bucket.mu.Lock()
 		for _, v := range a.bucket.units.lent {
--- a/snipelimit/ledger_test.go
+++ b/snipelimit/ledger_test.go
@@ -61,6 +61,19 @@
 	check(40*time.Second, 0)
 }
 
+// Guards against a planned stop shortly after a restart that frees an inherited
+// position while loans of the former process are in use.
+func TestInheritedLoansOutstanding(t *testing.T) {
+	at := func(d time.Duration) snipetime.Instant { return snipetime.Instant(d) }
+	l := New(Config{Incarnation: "a2", Positions: 4}, 0)
+	l.Configure(0, []Limit{{ID: "x", PerSecond: 1000, Fraction: 1}})
+	l.SetHoldings(at(time.Second), []Holding{{LeaseEnd: never, Since: at(time.Second), Inherited: true}})
+	l.SetHoldings(at(2*time.Second), nil)
+	if got, want := l.OutstandingLoansEnd(at(2*time.Second)), at(5140*time.Millisecond); got != want {
+		t.Errorf("outstanding loans end at %v, want %v", got, want)
+	}
+}
+
 // Guards against growth beyond the ramp, at the start and after a pause.
 func TestGrowth(t *testing.T) {
 	l := New(Config{Incarnation: "a1", Positions: 1}, 0)
