--- a/snipeonce/claim.go
+++ b/snipeonce/claim.go
@@ -77,8 +77,10 @@
 
 // ClaimAction is the next step of a claim with its operands.
 type ClaimAction struct {
-	Step    ClaimStep
-	Value   ClaimValue
+	Step  ClaimStep
+	Value ClaimValue
+	// Lease is the store lease that a write binds the key to.
+	Lease   string
 	Version uint64
 	Other   RequestID
 	Result  Result
@@ -86,7 +88,9 @@
 
 // Claim claims one idempotency key for one request. Its owner begins the
 // request in its Table first, performs each action and reports the result, and
-// passes a refusal to Table.Finish. It is not safe for concurrent use.
+// passes a refusal to Table.Finish. At the deadline of the request it abandons
+// the claim and finishes the request not-run: the lease of the claim counts from
+// the deadline. It is not safe for concurrent use.
 //
 // The order matters. While the record is running, the issuer answers a
 // competing claimant with Running, and the claim cannot be replaced. Once the
@@ -98,16 +102,21 @@
 // named request ran, and the answer is unknown.
 type Claim struct {
 	value   ClaimValue
+	lease   string
 	last    ClaimAction
 	unclear int
 	rounds  int
 }
 
 // NewClaim returns a claim for a request and its first action. operation is
-// unique to this claim.
-func NewClaim(id RequestID, operation string) (*Claim, ClaimAction) {
-	c := &Claim{value: ClaimValue{RequestID: id.String(), Operation: operation}}
-	return c, c.next(ClaimAction{Step: ClaimCreate, Value: c.value})
+// unique to this claim, lease is from ClaimLeases.For.
+func NewClaim(id RequestID, operation, lease string) (*Claim, ClaimAction) {
+	c := &Claim{value: ClaimValue{RequestID: id.String(), Operation: operation}, lease: lease}
+	return c, c.create()
+}
+
+func (c *Claim) create() ClaimAction {
+	return c.next(ClaimAction{Step: ClaimCreate, Value: c.value, Lease: c.lease})
 }
 
 // Written reports that the last write took effect.
@@ -142,7 +151,7 @@
 	if c.rounds > maxRounds {
 		return c.refuse(ReasonClaimStoreUnavailable, OutcomeNotRun)
 	}
-	return c.next(ClaimAction{Step: ClaimCreate, Value: c.value})
+	return c.create()
 }
 
 // Found reports that a read found the given claim and version.
@@ -165,7 +174,9 @@
 func (c *Claim) Issuer(st Status) ClaimAction {
 	switch st.State {
 	case NeverStarted:
-		return c.next(ClaimAction{Step: ClaimReplace, Value: c.value, Version: c.last.Version})
+		return c.next(ClaimAction{
+			Step: ClaimReplace, Value: c.value, Lease: c.lease, Version: c.last.Version,
+		})
 	case Running, Finished:
 		return c.next(ClaimAction{Step: ClaimJoin, Other: c.last.Other})
 	default:
--- a/snipeonce/handover.go
+++ b/snipeonce/handover.go
@@ -1,6 +1,8 @@
 package snipeonce
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/snipemoor/snipemoor/snipetime"
@@ -17,9 +19,12 @@
 type Handover struct {
 	// Incarnation is the closed issuer.
 	Incarnation string
+	// Sender is the incarnation that made the export: the issuer itself, or a
+	// successor that hands an inherited hand-over on.
+	Sender string
 	// AsOfMillis is the issuer's instant of the export.
 	AsOfMillis uint64
-	// Export numbers the exports of the issuer. Chunks of different exports
+	// Export numbers the exports of the sender. Chunks of different exports
 	// cannot be combined, because records may have expired between them.
 	Export uint64
 	// Chunk counts from 0 to Chunks-1. Chunks is 0 for an update, which does
@@ -39,14 +44,20 @@
 type inheritance struct {
 	records map[RequestID]Result
 	bytes   int
-	// seen holds the chunks received of the export with number export.
-	export   uint64
-	seen     map[uint32]bool
+	// sets holds the chunks received, by sender.
+	sets map[string]*chunkSet
+	// complete tells that all records that the issuer had at asOf are here.
 	complete bool
 	asOf     snipetime.Instant
 	until    snipetime.Instant
 }
 
+// chunkSet holds the chunks received of the newest export of one sender.
+type chunkSet struct {
+	export uint64
+	seen   map[uint32]bool
+}
+
 // Close ends all starts for good. Running requests go on and Finish still
 // records them.
 func (t *Table) Close(now snipetime.Instant) {
@@ -57,7 +68,9 @@
 }
 
 // Export returns all records of a closed table in messages of about maxBytes
-// each, and nil before Close. There is at least one message.
+// each, and nil before Close. There is at least one message. What other closed
+// incarnations handed over to this one is part of it, so that a successor that
+// stops leaves no identifier without an answer.
 func (t *Table) Export(now snipetime.Instant, maxBytes int) []Handover {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -66,17 +79,50 @@
 		return nil
 	}
 	t.exports++
-	chunks := []Handover{t.newChunk(0)}
-	size := 0
+	own := make([]HandoverRecord, 0, len(t.expiry))
 	for _, r := range t.expiry {
-		last := &chunks[len(chunks)-1]
-		if size > 0 && size+r.size > maxBytes {
-			chunks = append(chunks, t.newChunk(uint32(len(chunks))))
-			last = &chunks[len(chunks)-1]
+		own = append(own, r.handover())
+	}
+	chunks := split(t.newChunk(), own, maxBytes)
+	for _, name := range slices.Sorted(maps.Keys(t.inherits)) {
+		chunks = append(chunks, t.handOn(name, maxBytes)...)
+	}
+	return chunks
+}
+
+// handOn returns the inherited hand-over of another incarnation. Where it is not
+// complete, its messages are updates and cannot make it complete elsewhere.
+func (t *Table) handOn(name string, maxBytes int) []Handover {
+	in := t.inherits[name]
+	records := make([]HandoverRecord, 0, len(in.records))
+	for id, result := range in.records {
+		records = append(records, HandoverRecord{ID: id, Result: result})
+	}
+	first := Handover{Incarnation: name, Sender: t.self, AsOfMillis: Millis(in.asOf), Export: t.exports}
+	chunks := split(first, records, maxBytes)
+	if !in.complete {
+		for i := range chunks {
+			chunks[i].Chunk, chunks[i].Chunks = 0, 0
+		}
+	}
+	return chunks
+}
+
+// split distributes records over messages like first, at least one.
+func split(first Handover, records []HandoverRecord, maxBytes int) []Handover {
+	chunks := []Handover{first}
+	size := 0
+	for _, r := range records {
+		n := r.size()
+		if size > 0 && size+n > maxBytes {
+			next := first
+			next.Chunk = uint32(len(chunks))
+			chunks = append(chunks, next)
 			size = 0
 		}
-		last.Records = append(last.Records, r.handover())
-		size += r.size
+		last := &chunks[len(chunks)-1]
+		last.Records = append(last.Records, r)
+		size += n
 	}
 	for i := range chunks {
 		chunks[i].Chunks = uint32(len(chunks))
@@ -84,13 +130,16 @@
 	return chunks
 }
 
+// size returns the accounted bytes of the record at its receiver.
+func (r HandoverRecord) size() int { return recordOverhead + r.Result.Answer.size() }
+
 // Updates returns the records that have finished since Close. The daemon sends
 // it again until the successor has acknowledged it.
 func (t *Table) Updates(now snipetime.Instant) Handover {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.observe(now)
-	h := t.newChunk(0)
+	h := t.newChunk()
 	for _, id := range t.updates {
 		if r, ok := t.records[id]; ok {
 			h.Records = append(h.Records, r.handover())
@@ -99,8 +148,8 @@
 	return h
 }
 
-func (t *Table) newChunk(i uint32) Handover {
-	return Handover{Incarnation: t.self, AsOfMillis: Millis(t.now), Export: t.exports, Chunk: i}
+func (t *Table) newChunk() Handover {
+	return Handover{Incarnation: t.self, Sender: t.self, AsOfMillis: Millis(t.now), Export: t.exports}
 }
 
 func (r *record) handover() HandoverRecord {
@@ -111,14 +160,14 @@
 }
 
 // Import adds a message of a closed incarnation. It returns false, and takes
-// nothing, if the message is not acceptable or does not fit in the memory
-// bound. Messages may be lost, repeated and reordered: a known outcome replaces
+// nothing, if the message is not acceptable, does not fit in the memory bound or
+// arrives after Close, when it would not be handed on. Messages may be lost, repeated and reordered: a known outcome replaces
 // an unknown one and is never replaced.
 func (t *Table) Import(h Handover, now snipetime.Instant) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.observe(now)
-	if h.Incarnation == t.self || h.Chunks > 0 && h.Chunk >= h.Chunks {
+	if t.shut || h.Incarnation == t.self || h.Chunks > 0 && h.Chunk >= h.Chunks {
 		return false
 	}
 	size := 0
@@ -126,14 +175,14 @@
 		if r.ID.Incarnation != h.Incarnation {
 			return false
 		}
-		size += recordOverhead + r.Result.Answer.size()
+		size += r.size()
 	}
 	if t.bytes+size > t.settings.MaxBytes {
 		return false
 	}
 	in, ok := t.inherits[h.Incarnation]
 	if !ok {
-		in = &inheritance{records: make(map[RequestID]Result), seen: make(map[uint32]bool)}
+		in = &inheritance{records: make(map[RequestID]Result), sets: make(map[string]*chunkSet)}
 		t.inherits[h.Incarnation] = in
 	}
 	in.until = t.now.Add(2 * t.settings.Retention)
@@ -157,15 +206,7 @@
 		added += r.Result.Answer.size()
 		in.records[r.ID] = r.Result
 	}
-	if h.Chunks == 0 || h.Export < in.export || in.complete && h.Export == in.export {
-		return added
-	}
-	if h.Export > in.export {
-		in.export = h.Export
-		clear(in.seen)
-	}
-	in.seen[h.Chunk] = true
-	if len(in.seen) == int(h.Chunks) {
+	if h.Chunks > 0 && in.collect(h) {
 		in.complete = true
 		asOf := snipetime.Instant(0).Add(time.Duration(h.AsOfMillis) * time.Millisecond)
 		in.asOf = max(in.asOf, asOf)
@@ -173,6 +214,23 @@
 	return added
 }
 
+// collect notes a chunk and reports whether its export is complete.
+func (in *inheritance) collect(h Handover) bool {
+	set, ok := in.sets[h.Sender]
+	if !ok {
+		set = &chunkSet{}
+		in.sets[h.Sender] = set
+	}
+	if h.Export < set.export {
+		return false
+	}
+	if h.Export > set.export || set.seen == nil {
+		set.export, set.seen = h.Export, make(map[uint32]bool)
+	}
+	set.seen[h.Chunk] = true
+	return len(set.seen) == int(h.Chunks)
+}
+
 // Notice records that successor answers for the identifiers of a closed
 // incarnation.
 func (t *Table) Notice(closed, successor string, now snipetime.Instant) {
@@ -186,18 +244,31 @@
 }
 
 // beginForeign decides about an identifier of another incarnation. A relayed
-// request follows RelayTo at most once more, to the successor; a longer chain
-// is answered unknown by the daemon.
+// request follows RelayTo at most once more, to the last known successor; a
+// longer chain is answered unknown by the daemon.
 func (t *Table) beginForeign(id RequestID) Decision {
 	if _, ok := t.inherits[id.Incarnation]; ok {
 		return t.decideInherited(id)
 	}
-	if n, ok := t.notices[id.Incarnation]; ok && n.successor != t.self {
-		return Decision{Kind: RelayTo, Incarnation: n.successor}
+	if s := t.successor(id.Incarnation); s != t.self {
+		return Decision{Kind: RelayTo, Incarnation: s}
 	}
 	return Decision{Kind: RelayTo, Incarnation: id.Incarnation}
 }
 
+// successor follows the notices from a closed incarnation to the last one. The
+// bound is for notices that name each other.
+func (t *Table) successor(name string) string {
+	for range len(t.notices) {
+		n, ok := t.notices[name]
+		if !ok {
+			break
+		}
+		name = n.successor
+	}
+	return name
+}
+
 func (t *Table) decideInherited(id RequestID) Decision {
 	st := t.inherited(id)
 	switch {
