Build block tables without copies of sorted blocks

With 3.4 million sorted blocks and a table in use, the heap peaked at 269 MB (slices that grow, and a copy of all blocks); it now peaks at 62.8 MB, measured by BenchmarkBuild. Blocks in another order are still copied and peak at 173 MB.

--- a/snipelookup/blocks.go
+++ b/snipelookup/blocks.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"iter"
 	"net/netip"
 	"slices"
@@ -26,7 +25,7 @@
 	v4 ranges[uint16]
 	// v6 maps the upper 64 bits of an address.
 	v6   ranges[uint32]
-	deep []deepRange
+	deep deepTable
 	// blocks counts the blocks given to Build.
 	blocks int
 }
@@ -35,64 +34,49 @@
 // Of two equal blocks the later one counts. An IPv4-mapped IPv6 block counts as
 // an IPv4 block. It fails with ErrBadBlock for an invalid block or a place that
 // is not below MaxPlaces.
+//
+// Build reads blocks several times, which must yield the same each time. It
+// allocates nothing but the table if the blocks of each address family are
+// sorted by address and length, as a configuration lists them; otherwise it
+// sorts a copy.
 func Build(blocks iter.Seq2[netip.Prefix, uint16]) (*BlockTable, error) {
-	var v4 []block4
-	var v6 []block6
-	for p, place := range blocks {
-		if !p.IsValid() || place >= MaxPlaces {
-			return nil, fmt.Errorf("block %v of place %d: %w", p, place, ErrBadBlock)
-		}
-		p = unmap(p.Masked())
-		if p.Addr().Is4() {
-			v4 = append(v4, block4{keyOf(p.Addr()).lo, uint8(p.Bits()), place})
-			continue
-		}
-		v6 = append(v6, block6{keyOf(p.Addr()), uint8(p.Bits()), place})
+	in, err := survey(blocks)
+	if err != nil {
+		return nil, err
 	}
-	t := &BlockTable{blocks: len(v4) + len(v6)}
-	t.build4(v4)
-	t.build6(v6)
-	return t, nil
-}
-
-func unmap(p netip.Prefix) netip.Prefix {
-	const mappedBits = 96
-	if p.Addr().Is4In6() && p.Bits() >= mappedBits {
-		return netip.PrefixFrom(p.Addr().Unmap(), p.Bits()-mappedBits)
+	t := &BlockTable{blocks: in.count}
+	for range 2 {
+		// The first pass counts, so that the second one fills slices of the
+		// exact size. Growing them would need twice the memory.
+		t.fill4(in.v4())
+		t.fill6(in.v6())
+		t.v4.nextPass()
+		t.v6.nextPass()
+		t.deep.nextPass()
 	}
-	return p
+	return t, nil
 }
 
-func (t *BlockTable) build4(blocks []block4) {
-	// A stable sort keeps equal blocks in their order of arrival.
-	slices.SortStableFunc(blocks, func(a, b block4) int {
-		return a.key().compare(b.key(), a.bits, b.bits)
-	})
+func (t *BlockTable) fill4(blocks iter.Seq[block]) {
 	const width = 32
 	s := sweep{width: width, emit: func(k key, place uint16) {
 		t.v4.add(uint32(k.lo>>16), uint16(k.lo), place)
 	}}
-	for _, b := range blocks {
-		s.open(b.key(), b.bits, b.place)
+	for b := range blocks {
+		s.open(b.start, b.bits, b.place)
 	}
 	s.finish()
-	t.v4.finish()
 }
 
-func (t *BlockTable) build6(blocks []block6) {
-	slices.SortStableFunc(blocks, func(a, b block6) int {
-		return a.start.compare(b.start, a.bits, b.bits)
-	})
+func (t *BlockTable) fill6(blocks iter.Seq[block]) {
 	d := deepener{table: t, last: noPlace}
 	const width = 128
 	s := sweep{width: width, emit: d.emit}
-	for _, b := range blocks {
+	for b := range blocks {
 		s.open(b.start, b.bits, b.place)
 	}
 	s.finish()
 	d.flush()
-	t.v6.finish()
-	t.deep = slices.Clip(t.deep)
 }
 
 // Lookup returns the place of the longest block that contains addr.
@@ -114,8 +98,9 @@
 }
 
 func (t *BlockTable) findDeep(k key) uint16 {
-	i := sort.Search(len(t.deep), func(i int) bool { return k.less(t.deep[i].start) })
-	return t.deep[i-1].place
+	deep := t.deep.ranges
+	i := sort.Search(len(deep), func(i int) bool { return k.less(deep[i].start) })
+	return deep[i-1].place
 }
 
 // Blocks returns the number of blocks given to Build.
@@ -124,7 +109,7 @@
 // Bytes returns the memory of the table.
 func (t *BlockTable) Bytes() int {
 	const deepSize = 24
-	return t.v4.bytes(2) + t.v6.bytes(4) + deepSize*cap(t.deep)
+	return t.v4.bytes(2) + t.v6.bytes(4) + deepSize*cap(t.deep.ranges)
 }
 
 // ranges is a sorted list of range starts, each with the place of the range. A
@@ -136,13 +121,28 @@
 	first  []uint32
 	lows   []L
 	places []uint16
+
+	filling bool
+	// starts and groups count what the first pass adds to lows and tops.
+	starts, groups int
+	lastTop        uint32
+	lastPlace      uint16
 }
 
 func (r *ranges[L]) add(top uint32, low L, place uint16) {
-	if n := len(r.places); n > 0 && r.places[n-1] == place && place != deepPlace {
+	if r.starts > 0 && r.lastPlace == place && place != deepPlace {
+		return
+	}
+	newTop := r.starts == 0 || r.lastTop != top
+	r.starts++
+	r.lastTop, r.lastPlace = top, place
+	if newTop {
+		r.groups++
+	}
+	if !r.filling {
 		return
 	}
-	if n := len(r.tops); n == 0 || r.tops[n-1] != top {
+	if newTop {
 		r.tops = append(r.tops, top)
 		r.first = append(r.first, uint32(len(r.lows)))
 	}
@@ -150,13 +150,16 @@
 	r.places = append(r.places, place)
 }
 
-// finish releases the spare capacity of the slices, which append may have grown
-// to a quarter more than the table needs.
-func (r *ranges[L]) finish() {
-	r.tops = slices.Clone(r.tops)
-	r.first = slices.Clone(r.first)
-	r.lows = slices.Clone(r.lows)
-	r.places = slices.Clone(r.places)
+// nextPass makes room for what the pass before has counted.
+func (r *ranges[L]) nextPass() {
+	if r.filling {
+		return
+	}
+	r.tops = make([]uint32, 0, r.groups)
+	r.first = make([]uint32, 0, r.groups)
+	r.lows = make([]L, 0, r.starts)
+	r.places = make([]uint16, 0, r.starts)
+	r.starts, r.groups, r.filling = 0, 0, true
 }
 
 func (r *ranges[L]) find(top uint32, low L) uint16 {
--- a/snipelookup/blocks_test.go
+++ b/snipelookup/blocks_test.go
@@ -1,9 +1,12 @@
 package snipelookup_test
 
 import (
+	"cmp"
 	"encoding/binary"
 	"math/rand/v2"
 	"net/netip"
+	"runtime"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -30,6 +33,11 @@
 	return table
 }
 
+// compareBlocks is the order in which a configuration lists blocks.
+func compareBlocks(a, b block) int {
+	return cmp.Or(a.prefix.Addr().Compare(b.prefix.Addr()), cmp.Compare(a.prefix.Bits(), b.prefix.Bits()))
+}
+
 // longest is the slow reference: a scan of all blocks.
 func longest(blocks []block, a netip.Addr) (place uint16, ok bool) {
 	best := -1
@@ -67,15 +75,17 @@
 			blocks = append(blocks, block{p, uint16(rapid.IntRange(0, 4).Draw(t, "place"))})
 			probes = append(probes, p.Addr(), p.Addr().Prev(), lastOf(p), lastOf(p).Next())
 		}
-		table := build(t, blocks)
-		for _, a := range probes {
-			if !a.IsValid() {
-				continue
-			}
-			place, ok := table.Lookup(a)
-			wantPlace, want := longest(blocks, a)
-			if ok != want || ok && place != wantPlace {
-				t.Fatalf("%v: got %d %v, want %d %v", a, place, ok, wantPlace, want)
+		ordered := slices.SortedStableFunc(slices.Values(blocks), compareBlocks)
+		for _, table := range []*snipelookup.BlockTable{build(t, blocks), build(t, ordered)} {
+			for _, a := range probes {
+				if !a.IsValid() {
+					continue
+				}
+				place, ok := table.Lookup(a)
+				wantPlace, want := longest(blocks, a)
+				if ok != want || ok && place != wantPlace {
+					t.Fatalf("%v: got %d %v, want %d %v", a, place, ok, wantPlace, want)
+				}
 			}
 		}
 	})
@@ -123,6 +133,74 @@
 	}
 }
 
+// buildPeak builds a table while another one is in use and returns the largest
+// heap beyond the blocks themselves, garbage included. It looks at the heap while
+// Build reads the blocks, which it does to its end.
+func buildPeak(t testing.TB, blocks []block) uint64 {
+	heap := func() uint64 {
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	runtime.GC()
+	before := heap()
+	live := build(t, blocks)
+	runtime.GC()
+	peak, n := heap(), 0
+	next, err := snipelookup.Build(func(yield func(netip.Prefix, uint16) bool) {
+		for _, b := range blocks {
+			if n++; n%100_000 == 0 {
+				peak = max(peak, heap())
+			}
+			if !yield(b.prefix, b.place) {
+				return
+			}
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	peak = max(peak, heap())
+	runtime.KeepAlive(live)
+	runtime.KeepAlive(next)
+	return peak - before
+}
+
+// Guards against a change of the configuration that needs more memory than a
+// node has: the table in use, the new one and all that building needs.
+func TestBuildPeak(t *testing.T) {
+	if testing.Short() {
+		t.Skip("builds 3.4 million blocks")
+	}
+	const limit, blocks = 64_000_000, 3_400_000
+	ordered := fullSize(blocks)
+	slices.SortFunc(ordered, compareBlocks)
+	peak := buildPeak(t, ordered)
+	t.Logf("%d blocks: peak of %d bytes with the table in use", blocks, peak)
+	if peak > limit {
+		t.Errorf("peak of %d bytes, limit %d", peak, limit)
+	}
+}
+
+func BenchmarkBuild(b *testing.B) {
+	for _, order := range []string{"sorted", "random"} {
+		for _, n := range []int{34_000, 3_400_000} {
+			b.Run(order+"/"+sizeName(n), func(b *testing.B) {
+				blocks := fullSize(n)
+				if order == "sorted" {
+					slices.SortFunc(blocks, compareBlocks)
+				}
+				peak := buildPeak(b, blocks)
+				b.ReportAllocs()
+				for b.Loop() {
+					build(b, blocks)
+				}
+				b.ReportMetric(float64(peak), "peak-bytes")
+			})
+		}
+	}
+}
+
 func BenchmarkBlockTableLookup(b *testing.B) {
 	for _, n := range []int{34_000, 3_400_000} {
 		b.Run(sizeName(n), func(b *testing.B) {
--- a/snipelookup/sweep.go
+++ b/snipelookup/sweep.go
@@ -39,23 +39,34 @@
 	return key{hi: k.hi + carry, lo: lo}
 }
 
-type block4 struct {
-	start uint64
-	bits  uint8
+type deepRange struct {
+	start key
 	place uint16
 }
 
-func (b block4) key() key { return key{lo: b.start} }
+// deepTable holds the ranges of all /64 with several places.
+type deepTable struct {
+	ranges []deepRange
+	// count is the number of ranges that the first pass adds.
+	count   int
+	filling bool
+}
 
-type block6 struct {
-	start key
-	bits  uint8
-	place uint16
+func (t *deepTable) add(r ...deepRange) {
+	if !t.filling {
+		t.count += len(r)
+		return
+	}
+	t.ranges = append(t.ranges, r...)
 }
 
-type deepRange struct {
-	start key
-	place uint16
+// nextPass makes room for what the pass before has counted.
+func (t *deepTable) nextPass() {
+	if t.filling {
+		return
+	}
+	t.ranges = make([]deepRange, 0, t.count)
+	t.filling = true
 }
 
 // sweep turns sorted nested blocks into the starts of disjoint ranges.
@@ -177,9 +188,9 @@
 func (d *deepener) addDeep(first key) {
 	d.add(first.hi, deepPlace)
 	if first.lo != 0 {
-		d.table.deep = append(d.table.deep, deepRange{key{hi: first.hi}, d.last})
+		d.table.deep.add(deepRange{key{hi: first.hi}, d.last})
 	}
-	d.table.deep = append(d.table.deep, d.group...)
+	d.table.deep.add(d.group...)
 	d.resumeHi = first.hi + 1
 	d.resume = d.resumeHi != 0
 }
