sniperoute: name places without weight at the end of a plan

Cause: at 85 % load the weight of the other place of the region falls to 0, a plan names the home place only, and requests queue there beside free slots. Change: plans end with up to two places of the region without weight.

--- a/sniperoute/planner.go
+++ b/sniperoute/planner.go
@@ -118,6 +118,10 @@
 	return &Planner{settings: settings.withDefaults(), region: region, random: random, index: map[string]int{}}
 }
 
+// withoutWeight is the number of places that a plan names without regard to
+// their weights.
+const withoutWeight = 2
+
 // maximumPlaces bounds the places, whose indices are kept in 16 bits.
 const maximumPlaces = 1 << 16
 
@@ -307,12 +311,35 @@
 		// ones are tried, since their owners refuse what they cannot serve.
 		buffer = p.addNearest(buffer, plan, i)
 	}
+	return p.addRegion(buffer, start, plan, i)
+}
+
+// addRegion appends places of the home region that carry no weight and are not
+// in the plan yet, nearest first. Weights lag by seconds: a place that reported
+// no spare slots can have one now, and its owner refuses if it has none.
+func (p *Planner) addRegion(buffer []PlaceCandidate, start int, plan *homePlan, home int) []PlaceCandidate {
+	region := p.places[home].place.Region
+	added := 0
+	for _, o := range plan.others {
+		pl := &p.places[o].place
+		if added == withoutWeight || len(buffer) == cap(buffer) || pl.Region != region {
+			break
+		}
+		if planned(buffer[start:], pl.Name) {
+			continue
+		}
+		buffer = p.add(buffer, home, int(o))
+		added++
+	}
 	return buffer
 }
 
+func planned(plan []PlaceCandidate, place string) bool {
+	return slices.ContainsFunc(plan, func(c PlaceCandidate) bool { return c.Place == place })
+}
+
 func (p *Planner) addNearest(buffer []PlaceCandidate, plan *homePlan, home int) []PlaceCandidate {
-	const nearest = 2
-	for _, o := range plan.others[:min(nearest, len(plan.others))] {
+	for _, o := range plan.others[:min(withoutWeight, len(plan.others))] {
 		buffer = p.add(buffer, home, int(o))
 	}
 	return buffer
--- a/sniperoute/sniperoute_test.go
+++ b/sniperoute/sniperoute_test.go
@@ -165,3 +165,26 @@
 		t.Errorf("a failing instance is preferred: %v", chosen)
 	}
 }
+
+// Guards against a request that queues at a full home place because the weight
+// of the other place of the region fell to 0 on a report that is seconds old.
+func TestPlanNamesPlaceWithoutWeight(t *testing.T) {
+	p := sniperoute.NewPlanner(sniperoute.PlannerSettings{}, "r", seeded(4))
+	places := []sniperoute.Place{{Name: "a", Region: "r"}, {Name: "b", Region: "r"}, {Name: "c", Region: "s", Instances: 1}}
+	if err := p.SetPlaces(places, flat); err != nil {
+		t.Fatal(err)
+	}
+	for step := range 20 {
+		now := snipetime.Instant(step) * snipetime.Instant(3*time.Second)
+		for _, pl := range places {
+			p.Report(now, pl.Name, sniperoute.Load{Total: 4, Queued: 1})
+		}
+		named := map[string]int{}
+		for _, c := range p.Plan("a", make([]sniperoute.PlaceCandidate, 0, 4)) {
+			named[c.Place]++
+		}
+		if named["a"] != 1 || named["b"] != 1 {
+			t.Fatalf("step %d: the plan names the places %v", step, named)
+		}
+	}
+}
