snipeslot: hand a slot over at the entry instance

Cause: after each attempt a slot is idle for a release and a grant, 1 ms of a mean service time of 20 ms, which near saturation multiplies the wait. Grants are counted by their identifier, so that the bound on running attempts does not depend on which attempt uses one.

--- a/snipeslot/holder.go
+++ b/snipeslot/holder.go
@@ -37,12 +37,25 @@
 	epoch  uint64
 	sent   snipetime.Instant
 	giveUp snipetime.Instant
+	// latest is the end of the time in which the request may take over a grant.
+	latest   snipetime.Instant
+	deadline snipetime.Instant
+	excluded []string
+	barred   []string
+}
+
+func (p *pending) bars(target string) bool {
+	return slices.Contains(p.excluded, target) || slices.Contains(p.barred, target)
 }
 
 type heldGroup struct {
 	epoch    uint64
 	sequence uint64
 	reported bool // the owner has accepted a list in this epoch
+	// grants holds the running attempt of each grant.
+	grants map[uint64]string
+	// offered holds the waiting requests that may take over a grant.
+	offered map[string]bool
 }
 
 // Holder tracks the attempts of this instance.
@@ -52,6 +65,7 @@
 	groups     map[string]*heldGroup
 	pending    map[string]*pending
 	running    map[string]*held
+	barred     func(target string) bool
 }
 
 // NewHolder returns a holder without attempts. timeToLive is that of the
@@ -78,7 +92,11 @@
 	}
 	a.From = h.self
 	wait := min(a.Budget, a.MaximumWait) + replyGrace
-	h.pending[a.AttemptID] = &pending{group: a.Group, epoch: g.epoch, sent: now, giveUp: now.Add(wait)}
+	h.pending[a.AttemptID] = &pending{
+		group: a.Group, epoch: g.epoch, sent: now, giveUp: now.Add(wait),
+		latest:   now.Add(min(a.Budget, a.MaximumWait, takeOverFor)),
+		deadline: now.Add(a.Budget), excluded: a.Excluded,
+	}
 	return a, true
 }
 
@@ -94,14 +112,20 @@
 		return Ignore, Release{}
 	}
 	if r.State == Queued {
+		if r.TakeOver {
+			p.barred = r.Barred
+			h.groups[p.group].offered[r.AttemptID] = true
+		}
 		return Enqueued, Release{}
 	}
-	delete(h.pending, r.AttemptID)
+	h.forget(r.AttemptID, p)
 	return Refuse, Release{}
 }
 
 func (h *Holder) answerGrant(now snipetime.Instant, r Reply) (Verdict, Release) {
-	if run := h.running[r.AttemptID]; run != nil && run.GrantID == r.GrantID {
+	// A repeated reply must not return a grant that an attempt uses, be it the
+	// one that the reply names or one that took over.
+	if g := h.groups[r.Group]; g != nil && g.grants[r.GrantID] != "" {
 		return Ignore, Release{}
 	}
 	release := Release{
@@ -114,19 +138,29 @@
 	if p == nil || r.Epoch != p.epoch {
 		return Return, release
 	}
-	delete(h.pending, r.AttemptID)
+	h.forget(r.AttemptID, p)
 	until := p.sent.Add(r.TimeToLive)
 	if !now.Before(until) {
 		return Return, release
 	}
-	h.running[r.AttemptID] = &held{
+	h.start(&held{
 		group:   p.group,
 		Running: Running{AttemptID: r.AttemptID, GrantID: r.GrantID, Target: r.Target},
 		until:   until,
-	}
+	})
 	return Start, Release{}
 }
 
+func (h *Holder) forget(attemptID string, p *pending) {
+	delete(h.pending, attemptID)
+	delete(h.groups[p.group].offered, attemptID)
+}
+
+func (h *Holder) start(run *held) {
+	h.running[run.AttemptID] = run
+	h.groups[run.group].grants[run.GrantID] = run.AttemptID
+}
+
 // Finish ends a running attempt and returns the release to send. It reports
 // false if the attempt is not running.
 func (h *Holder) Finish(attemptID string, outcome Outcome, latency time.Duration) (Release, bool) {
@@ -135,6 +169,7 @@
 		return Release{}, false
 	}
 	delete(h.running, attemptID)
+	delete(h.groups[run.group].grants, run.GrantID)
 	return Release{
 		Group: run.group, AttemptID: attemptID, From: h.self,
 		GrantID: run.GrantID, Target: run.Target, Latency: latency, Outcome: outcome,
@@ -148,7 +183,7 @@
 	if p == nil {
 		return Cancel{}, false
 	}
-	delete(h.pending, attemptID)
+	h.forget(attemptID, p)
 	return Cancel{Group: p.group, AttemptID: attemptID, From: h.self}, true
 }
 
@@ -159,7 +194,7 @@
 func (h *Holder) OwnerChanged(group string, epoch uint64) (abandoned []string) {
 	g := h.groups[group]
 	if g == nil {
-		g = &heldGroup{}
+		g = &heldGroup{grants: map[uint64]string{}, offered: map[string]bool{}}
 		h.groups[group] = g
 	}
 	if epoch <= g.epoch {
@@ -169,7 +204,7 @@
 	for id, p := range h.pending {
 		if p.group == group {
 			abandoned = append(abandoned, id)
-			delete(h.pending, id)
+			h.forget(id, p)
 		}
 	}
 	slices.Sort(abandoned)
@@ -209,12 +244,13 @@
 	g.reported = true
 	until := sent.Add(h.timeToLive - driftMargin(h.timeToLive))
 	for _, a := range list.Attempts {
-		run := h.running[a.AttemptID]
-		if run == nil || run.GrantID != a.GrantID {
+		// Another attempt may have taken over the grant since the list was sent.
+		run := h.running[g.grants[a.GrantID]]
+		if run == nil {
 			continue
 		}
 		if slices.Contains(reply.Unknown, a.AttemptID) {
-			cancel = append(cancel, a.AttemptID)
+			cancel = append(cancel, run.AttemptID)
 			continue
 		}
 		run.until = max(run.until, until)
--- a/snipeslot/messages.go
+++ b/snipeslot/messages.go
@@ -83,6 +83,11 @@
 	TimeToLive time.Duration
 	Reason     Reason
 	RetryAfter time.Duration
+	// TakeOver, in a Queued reply, permits the member to start the request
+	// under a grant of the group whose attempt has just completed there, except
+	// at the Barred targets. Holder.HandOver applies it.
+	TakeOver bool
+	Barred   []string
 }
 
 // Cancel withdraws an Acquire whose grant will not be used.
@@ -129,6 +134,9 @@
 	Target           string
 	Latency          time.Duration
 	Outcome          Outcome
+	// Next is the attempt that the member has started under the same grant; it
+	// is empty if the grant ends.
+	Next string
 }
 
 // Running is an attempt under a grant.
--- a/snipeslot/owner.go
+++ b/snipeslot/owner.go
@@ -60,8 +60,9 @@
 	chooser  Chooser
 	lease    snipetime.Instant
 	targets  map[string]*target
-	order    []*target // by address, so that choices are reproducible
-	grants   map[string]*grant
+	order    []*target         // by address, so that choices are reproducible
+	grants   map[uint64]*grant // by grant identifier
+	attempts map[string]*grant // by attempt
 	queue    queue
 	counter  uint32
 	service  time.Duration // smoothed time from grant to release
@@ -86,7 +87,8 @@
 		chooser:  chooser,
 		lease:    now,
 		targets:  map[string]*target{},
-		grants:   map[string]*grant{},
+		grants:   map[uint64]*grant{},
+		attempts: map[string]*grant{},
 		recovery: newRecovery(now.Add(settings.TimeToLive + driftMargin(settings.TimeToLive))),
 	}
 }
@@ -147,7 +149,7 @@
 // Acquire answers a request for a slot. A repeated request for an attempt that
 // is granted or queued has the same answer as the first.
 func (o *Owner) Acquire(now snipetime.Instant, a Acquire) Reply {
-	if g := o.grants[a.AttemptID]; g != nil && g.from == a.From && g.reply.State == Granted {
+	if g := o.attempts[a.AttemptID]; g != nil && g.from == a.From && g.reply.State == Granted {
 		return g.reply
 	}
 	if o.queue.find(a.AttemptID) >= 0 {
@@ -205,6 +207,9 @@
 		return o.reply(e.acquire, Refused, ReasonNoSlot, wait)
 	}
 	o.queue.insert(at, e)
+	if at < takeOverFirst && !o.recovery.active {
+		return o.offer(now, e, o.barred(now))
+	}
 	return o.reply(e.acquire, Queued, ReasonNone, 0)
 }
 
@@ -263,7 +268,7 @@
 	// that its time always ends before the owner's.
 	ttl := o.settings.TimeToLive
 	r.TimeToLive = now.Sub(e.arrived) + ttl - driftMargin(ttl+now.Sub(e.arrived))
-	o.grants[e.acquire.AttemptID] = &grant{reply: r, from: e.acquire.From, granted: now, expires: now.Add(ttl)}
+	o.add(&grant{reply: r, from: e.acquire.From, granted: now, expires: now.Add(ttl)})
 	return r, true
 }
 
@@ -290,7 +295,7 @@
 		o.queue.remove(i)
 		free--
 	}
-	return replies
+	return o.offerFirst(now, replies)
 }
 
 // expire returns the refusal of an entry whose wait has ended.
@@ -301,17 +306,27 @@
 	return o.reply(e.acquire, Refused, ReasonDeadline, 0)
 }
 
-// Release ends a grant and returns the replies to queued requests that it
-// serves. A release that does not match a grant has no effect.
+// Release ends a grant, or moves it to the attempt that the member has started
+// under it, and returns the replies to queued requests that it serves. A release
+// that does not match a grant has no effect.
 func (o *Owner) Release(now snipetime.Instant, r Release) []Reply {
-	g := o.grants[r.AttemptID]
-	if g == nil || g.from != r.From || g.reply.GrantID != r.GrantID {
+	g := o.grants[r.GrantID]
+	if g == nil || g.from != r.From {
+		return nil
+	}
+	granted := g.granted
+	switch {
+	case r.Next == "":
+		o.drop(g)
+	case g.reply.AttemptID != r.AttemptID:
+		// The grant was moved again by a message that was sent later.
 		return nil
+	default:
+		o.move(now, g, r.Next)
 	}
-	o.drop(r.AttemptID, g)
 	o.chooser.Observe(now, g.reply.Target, r.Outcome.result(), r.Latency)
 	if r.Outcome != OutcomeCancelled {
-		o.observeService(now.Sub(g.granted))
+		o.observeService(now.Sub(granted))
 	}
 	return o.dispatch(now)
 }
@@ -325,8 +340,16 @@
 	o.service += (d - o.service) / 16
 }
 
-func (o *Owner) drop(id string, g *grant) {
-	delete(o.grants, id)
+func (o *Owner) add(g *grant) {
+	o.grants[g.reply.GrantID] = g
+	o.attempts[g.reply.AttemptID] = g
+}
+
+func (o *Owner) drop(g *grant) {
+	delete(o.grants, g.reply.GrantID)
+	if o.attempts[g.reply.AttemptID] == g {
+		delete(o.attempts, g.reply.AttemptID)
+	}
 	t := o.targets[g.reply.Target]
 	t.used--
 	if t.removed && t.used == 0 {
@@ -340,20 +363,20 @@
 	if i := o.queue.find(c.AttemptID); i >= 0 && o.queue.entries[i].acquire.From == c.From {
 		o.queue.remove(i)
 	}
-	g := o.grants[c.AttemptID]
+	g := o.attempts[c.AttemptID]
 	if g == nil || g.from != c.From {
 		return nil
 	}
-	o.drop(c.AttemptID, g)
+	o.drop(g)
 	return o.dispatch(now)
 }
 
 // Tick ends grants and queue entries whose time is over, and the recovery. It
 // is to be called at least every 100 ms.
 func (o *Owner) Tick(now snipetime.Instant) []Reply {
-	for id, g := range o.grants {
+	for _, g := range o.grants {
 		if !now.Before(g.expires) {
-			o.drop(id, g)
+			o.drop(g)
 		}
 	}
 	if o.recovery.active && !now.Before(o.recovery.until) {
--- a/snipeslot/queue.go
+++ b/snipeslot/queue.go
@@ -12,6 +12,7 @@
 	arrived  snipetime.Instant
 	deadline snipetime.Instant
 	giveUp   snipetime.Instant // end of the longest wait, at most deadline
+	offered  bool              // the member may start it under a grant that it has
 }
 
 // queue holds requests by deadline, and by arrival among equal deadlines. It is
--- a/snipeslot/recovery.go
+++ b/snipeslot/recovery.go
@@ -64,9 +64,9 @@
 func (o *Owner) bury(m Member) {
 	o.recovery.dead[m] = true
 	delete(o.recovery.sequences, m)
-	for id, g := range o.grants {
+	for _, g := range o.grants {
 		if g.from == m {
-			o.drop(id, g)
+			o.drop(g)
 		}
 	}
 	o.queue.entries = slices.DeleteFunc(o.queue.entries, func(e *entry) bool { return e.acquire.From == m })
@@ -91,16 +91,16 @@
 	}
 	o.recovery.sequences[r.From] = r.Sequence
 	reply.Accepted = true
-	listed := make(map[string]bool, len(r.Attempts))
+	listed := make(map[uint64]bool, len(r.Attempts))
 	for _, a := range r.Attempts {
-		listed[a.AttemptID] = true
+		listed[a.GrantID] = true
 		if !o.renewOne(now, r.From, a) {
 			reply.Unknown = append(reply.Unknown, a.AttemptID)
 		}
 	}
 	for id, g := range o.grants {
 		if g.from == r.From && g.confirmed && !listed[id] {
-			o.drop(id, g)
+			o.drop(g)
 		}
 	}
 	o.finishRecovery()
@@ -108,15 +108,18 @@
 }
 
 func (o *Owner) renewOne(now snipetime.Instant, from Member, a Running) bool {
-	g := o.grants[a.AttemptID]
+	g := o.grants[a.GrantID]
 	if g == nil && o.recovery.active {
-		g = &grant{from: from, granted: now, reply: Reply{GrantID: a.GrantID, Target: a.Target}}
-		o.grants[a.AttemptID] = g
+		g = &grant{from: from, granted: now, reply: Reply{GrantID: a.GrantID, AttemptID: a.AttemptID, Target: a.Target}}
+		o.add(g)
 		o.target(a.Target).used++
 	}
-	if g == nil || g.from != from || g.reply.GrantID != a.GrantID {
+	if g == nil || g.from != from {
 		return false
 	}
+	if g.reply.AttemptID != a.AttemptID {
+		o.move(now, g, a.AttemptID)
+	}
 	g.confirmed = true
 	g.expires = now.Add(o.settings.TimeToLive)
 	return true
