snipeslot: hold a moved target until all members have reported

Cause: an owner counts a target that moved to its group as unused, although attempts run there under grants of the former owner. Change: the new owner holds the target until every member has reported the same targets for the group in its generation or a later one, and counts the attempts that members report under other groups. Members return grants from before a move, also after the target has come back.

--- a/snipeslot/doc.go
+++ b/snipeslot/doc.go
@@ -12,7 +12,10 @@
 // lease at any time and its epoch is higher than those before, (2) the members
 // passed to SetMembers include every instance that may hold a grant of the
 // former owner, (3) each attempt that Holder.Tick names is cancelled at once,
-// and (4) clock rates differ by less than the drift margin.
+// (4) clock rates differ by less than the drift margin, and (5) where targets
+// move between groups, each instance states its generations with
+// Owner.SetGeneration and then Holder.Configure, and no owner with a lease stays
+// without a generation for longer than 15 s after another owner has it.
 //
 // The package performs no I/O and reads no clock; its types are not safe for
 // concurrent use.
--- a/snipeslot/holder.go
+++ b/snipeslot/holder.go
@@ -42,6 +42,7 @@
 	deadline snipetime.Instant
 	excluded []string
 	barred   []string
+	passed   []*assignment // that came into force since the request was sent
 }
 
 func (p *pending) bars(target string) bool {
@@ -51,7 +52,8 @@
 type heldGroup struct {
 	epoch    uint64
 	sequence uint64
-	reported bool // the owner has accepted a list in this epoch
+	reported bool // the owner has accepted a list in this epoch and generation
+	foreign  bool // the latest accepted list counts attempts under other groups
 	// grants holds the running attempt of each grant.
 	grants map[uint64]string
 	// offered holds the waiting requests that may take over a grant.
@@ -66,6 +68,8 @@
 	pending    map[string]*pending
 	running    map[string]*held
 	barred     func(target string) bool
+	generation uint64
+	assigned   *assignment
 }
 
 // NewHolder returns a holder without attempts. timeToLive is that of the
@@ -140,7 +144,7 @@
 	}
 	h.forget(r.AttemptID, p)
 	until := p.sent.Add(r.TimeToLive)
-	if !now.Before(until) {
+	if !now.Before(until) || !h.usable(p, r.Target) {
 		return Return, release
 	}
 	h.start(&held{
@@ -219,16 +223,20 @@
 	for _, run := range h.running {
 		byGroup[run.group] = append(byGroup[run.group], run.Running)
 	}
+	foreign := h.foreign()
 	var lists []Renew
 	for _, name := range slices.Sorted(maps.Keys(h.groups)) {
 		g := h.groups[name]
 		attempts := byGroup[name]
-		if g.reported && len(attempts) == 0 {
+		if g.reported && len(attempts) == 0 && len(foreign[name]) == 0 && !g.foreign {
 			continue
 		}
 		slices.SortFunc(attempts, func(a, b Running) int { return cmp.Compare(a.AttemptID, b.AttemptID) })
 		g.sequence++
-		lists = append(lists, Renew{Group: name, From: h.self, Epoch: g.epoch, Sequence: g.sequence, Attempts: attempts})
+		lists = append(lists, Renew{
+			Group: name, From: h.self, Epoch: g.epoch, Sequence: g.sequence, Attempts: attempts,
+			Generation: h.generation, Digest: h.digest(name), Foreign: foreign[name],
+		})
 	}
 	return lists
 }
@@ -241,7 +249,8 @@
 	if g == nil || !reply.Accepted || reply.Epoch != g.epoch || reply.Sequence != list.Sequence {
 		return nil
 	}
-	g.reported = true
+	g.reported = list.Generation >= h.generation
+	g.foreign = len(list.Foreign) > 0
 	until := sent.Add(h.timeToLive - driftMargin(h.timeToLive))
 	for _, a := range list.Attempts {
 		// Another attempt may have taken over the grant since the list was sent.
--- a/snipeslot/messages.go
+++ b/snipeslot/messages.go
@@ -158,6 +158,12 @@
 	// Sequence rises with each list of the member for the group.
 	Sequence uint64
 	Attempts []Running
+	// Generation is the configuration that the member had in force, and Digest
+	// identifies the targets of the group in it.
+	Generation, Digest uint64
+	// Foreign counts, by target of this group, the member's attempts under
+	// grants of other groups.
+	Foreign map[string]int
 }
 
 // RenewReply answers a Renew.
--- a/snipeslot/owner.go
+++ b/snipeslot/owner.go
@@ -36,14 +36,16 @@
 type target struct {
 	Target
 	used    int
+	foreign int // attempts under grants of other groups
 	removed bool
+	hold    hold
 }
 
 func (t *target) free() int {
-	if t.Draining || t.removed {
+	if t.Draining || t.removed || t.hold.generation > 0 {
 		return 0
 	}
-	return max(t.Slots-t.used, 0)
+	return max(t.Slots-t.used-t.foreign, 0)
 }
 
 type grant struct {
@@ -67,7 +69,12 @@
 	counter  uint32
 	service  time.Duration // smoothed time from grant to release
 	recovery recovery
-	free     []sniperoute.Candidate
+	reports  map[Member]report
+	// generation is that of the next Configure; configured is set after the first.
+	generation uint64
+	configured bool
+	digest     uint64 // of the addresses of the configured targets
+	free       []sniperoute.Candidate
 }
 
 // NewOwner returns an owner in recovery, without targets and lease. now must
@@ -89,6 +96,7 @@
 		targets:  map[string]*target{},
 		grants:   map[uint64]*grant{},
 		attempts: map[string]*grant{},
+		reports:  map[Member]report{},
 		recovery: newRecovery(now.Add(settings.TimeToLive + driftMargin(settings.TimeToLive))),
 	}
 }
@@ -100,15 +108,25 @@
 // Configure replaces the targets. A target that is missing from the list drains
 // and is forgotten when idle. Lowered slots take effect as attempts end.
 func (o *Owner) Configure(now snipetime.Instant, targets []Target) []Reply {
+	present := make(map[string]bool, len(o.targets))
 	for _, t := range o.targets {
+		present[t.Address] = !t.removed
 		t.removed = true
 	}
 	addresses := make([]string, 0, len(targets))
 	for _, t := range targets {
 		s := o.target(t.Address)
+		if !present[t.Address] {
+			s.hold = o.newHold(now)
+		}
 		s.Target, s.removed = t, false
 		addresses = append(addresses, t.Address)
 	}
+	o.configured, o.digest = true, digestOf(addresses)
+	for m := range o.reports {
+		o.countForeign(m)
+	}
+	o.endHolds(now)
 	o.forgetIdle()
 	o.chooser.SetTargets(now, addresses, func(a string) bool { return o.targets[a].Draining })
 	return o.dispatch(now)
@@ -128,7 +146,7 @@
 
 func (o *Owner) forgetIdle() {
 	o.order = slices.DeleteFunc(o.order, func(t *target) bool {
-		idle := t.removed && t.used == 0
+		idle := t.removed && t.used == 0 && t.foreign == 0
 		if idle {
 			delete(o.targets, t.Address)
 		}
@@ -382,6 +400,7 @@
 	if o.recovery.active && !now.Before(o.recovery.until) {
 		o.recovery.active = false
 	}
+	o.endHolds(now)
 	var replies []Reply
 	o.queue.entries = slices.DeleteFunc(o.queue.entries, func(e *entry) bool {
 		over := !now.Before(e.giveUp)
--- a/snipeslot/recovery.go
+++ b/snipeslot/recovery.go
@@ -57,6 +57,7 @@
 		r.members[m.Address] = m.Incarnation
 	}
 	r.known = r.known || len(members) > 0
+	o.endHolds(now)
 	o.finishRecovery()
 	return o.dispatch(now)
 }
@@ -64,6 +65,8 @@
 func (o *Owner) bury(m Member) {
 	o.recovery.dead[m] = true
 	delete(o.recovery.sequences, m)
+	o.addForeign(o.reports[m].counted, -1)
+	delete(o.reports, m)
 	for _, g := range o.grants {
 		if g.from == m {
 			o.drop(g)
@@ -91,6 +94,7 @@
 	}
 	o.recovery.sequences[r.From] = r.Sequence
 	reply.Accepted = true
+	o.setReport(now, r)
 	listed := make(map[uint64]bool, len(r.Attempts))
 	for _, a := range r.Attempts {
 		listed[a.GrantID] = true
--- a/snipeslot/takeover.go
+++ b/snipeslot/takeover.go
@@ -81,7 +81,10 @@
 // or no request may take over; Finish is to be called then.
 func (h *Holder) HandOver(now snipetime.Instant, attemptID string, latency time.Duration) (Release, Running, bool) {
 	run := h.running[attemptID]
-	if run == nil || !now.Before(run.until) || h.barred != nil && h.barred(run.Target) {
+	if run == nil || !now.Before(run.until) || !h.assigned.belongs(run.Target, run.group) {
+		return Release{}, Running{}, false
+	}
+	if h.barred != nil && h.barred(run.Target) {
 		return Release{}, Running{}, false
 	}
 	next, p := h.nextTakeOver(now, run)
@@ -102,7 +105,7 @@
 func (h *Holder) nextTakeOver(now snipetime.Instant, run *held) (next string, best *pending) {
 	for id := range h.groups[run.group].offered {
 		p := h.pending[id]
-		if !now.Before(p.latest) || p.bars(run.Target) {
+		if !now.Before(p.latest) || p.bars(run.Target) || !h.usable(p, run.Target) {
 			continue
 		}
 		if best == nil || p.deadline < best.deadline || p.deadline == best.deadline && id < next {
