snipeslot: use targets ejected for latency instead of a longer wait

Cause: a target that is ejected for its latency alone stays unused while requests queue for longer than it takes. Change: a request that would queue for longer than the additional latency gets a slot there; failing and unhealthy targets stay out of use.

--- a/sniperoute/chooser.go
+++ b/sniperoute/chooser.go
@@ -97,6 +97,7 @@
 	warm        bool
 	draining    bool
 	ejected     bool
+	onlySlow    bool // ejected for its latency alone
 	ejections   int
 	ejectedTill snipetime.Instant
 	failures    int
@@ -207,6 +208,20 @@
 	return k.Used == 0 || t.warm || float64(k.Used+1) <= c.weight(now, t)*float64(k.Slots)
 }
 
+// ChooseSlow returns the index in free of a target that is ejected for its
+// latency alone and costs a request less than the given wait for another one,
+// or -1. Of several it returns the fastest.
+func (c *Chooser) ChooseSlow(free []Candidate, wait time.Duration) int {
+	best, bestLatency := -1, c.median+float64(wait)
+	for i := range free {
+		t := c.targets[free[i].Address]
+		if t != nil && t.onlySlow && !t.draining && t.latency < bestLatency {
+			best, bestLatency = i, t.latency
+		}
+	}
+	return best
+}
+
 // Weight returns the slow-start weight of a target, 0 if it is ejected,
 // draining or unknown.
 func (c *Chooser) Weight(now snipetime.Instant, address string) float64 {
@@ -255,6 +270,7 @@
 	t.probe, t.probedAt, t.probed = p, now, true
 	if !p.Healthy {
 		c.eject(now, t)
+		t.onlySlow = false
 	}
 }
 
@@ -273,13 +289,15 @@
 		t.failures++
 		t.failureRate += smoothing * (1 - t.failureRate)
 	}
+	enough := t.samples >= c.settings.MinimumSamples
+	failing := t.failures >= c.settings.Failures || enough && t.failureRate >= c.settings.FailureRatio
 	if t.ejected {
+		t.onlySlow = t.onlySlow && !failing
 		return
 	}
-	enough := t.samples >= c.settings.MinimumSamples
-	failing := t.failures >= c.settings.Failures || enough && t.failureRate >= c.settings.FailureRatio
 	if failing || r == Completed && enough && c.slow(t) {
 		c.eject(now, t)
+		t.onlySlow = t.ejected && !failing
 	}
 }
 
@@ -357,7 +375,7 @@
 		if c.probeFresh(now, t) && !t.probe.Healthy {
 			continue
 		}
-		t.ejected = false
+		t.ejected, t.onlySlow = false, false
 		t.warm, t.warmFrom = false, now
 		t.failures, t.failureRate, t.samples, t.latency = 0, 0, 0, 0
 	}
--- a/sniperoute/sniperoute_test.go
+++ b/sniperoute/sniperoute_test.go
@@ -130,6 +130,16 @@
 	if c.Ejected() != 1 || c.Weight(0, "c") != 0 {
 		t.Fatalf("%d ejected, weight of c %v", c.Ejected(), c.Weight(0, "c"))
 	}
+	// A request that waits for longer than the slow target takes in addition may
+	// use it, unless the target fails as well.
+	free := []sniperoute.Candidate{{Address: "a", Slots: 1}, {Address: "c", Slots: 1}}
+	if i, j := c.ChooseSlow(free, 80*time.Millisecond), c.ChooseSlow(free, 100*time.Millisecond); i != -1 || j != 1 {
+		t.Errorf("choices %d and %d, want -1 and 1", i, j)
+	}
+	c.Probe(0, "c", sniperoute.Probe{Healthy: false})
+	if i := c.ChooseSlow(free, time.Second); i != -1 {
+		t.Errorf("choice %d of an unhealthy target", i)
+	}
 	back := snipetime.Instant(sniperoute.DefaultEjection)
 	c.Tick(back)
 	if w := c.Weight(back, "c"); w <= 0 || w > 0.5 {
--- a/snipeslot/messages.go
+++ b/snipeslot/messages.go
@@ -202,6 +202,9 @@
 	SetTargets(now snipetime.Instant, addresses []string, draining func(address string) bool)
 	// Choose returns an index in free, or -1 if none may take a request now.
 	Choose(now snipetime.Instant, free []sniperoute.Candidate) int
+	// ChooseSlow returns an index in free of a target that Choose avoids for its
+	// latency and that costs less than the wait, or -1.
+	ChooseSlow(free []sniperoute.Candidate, wait time.Duration) int
 	// Observe records the result of an attempt.
 	Observe(now snipetime.Instant, address string, r sniperoute.Result, latency time.Duration)
 	// Tick ends ejections that are over.
--- a/snipeslot/owner.go
+++ b/snipeslot/owner.go
@@ -224,6 +224,9 @@
 	case wait > e.acquire.MaximumWait:
 		return o.reply(e.acquire, Refused, ReasonNoSlot, wait)
 	}
+	if r, ok := o.grantSlow(now, e, wait); ok {
+		return r
+	}
 	o.queue.insert(at, e)
 	if at < takeOverFirst && !o.recovery.active {
 		return o.offer(now, e, o.barred(now))
@@ -260,23 +263,47 @@
 
 // tryGrant grants a free slot that the entry does not exclude.
 func (o *Owner) tryGrant(now snipetime.Instant, e *entry) (Reply, bool) {
-	if o.recovery.active || !now.Before(o.lease) {
+	if !o.collectFree(now, e) {
 		return Reply{}, false
 	}
-	o.free = o.free[:0]
-	for _, t := range o.order {
-		if t.free() > 0 && !slices.Contains(e.acquire.Excluded, t.Address) {
-			o.free = append(o.free, sniperoute.Candidate{Address: t.Address, Used: t.used, Slots: t.Slots})
-		}
+	i := o.chooser.Choose(now, o.free)
+	if i < 0 {
+		return Reply{}, false
 	}
-	if len(o.free) == 0 {
+	return o.grant(now, e, o.free[i].Address), true
+}
+
+// grantSlow grants a slot of a target that is avoided for its latency if the
+// entry would wait longer than the target takes in addition.
+func (o *Owner) grantSlow(now snipetime.Instant, e *entry, wait time.Duration) (Reply, bool) {
+	if !o.collectFree(now, e) {
 		return Reply{}, false
 	}
-	i := o.chooser.Choose(now, o.free)
+	i := o.chooser.ChooseSlow(o.free, wait)
 	if i < 0 {
 		return Reply{}, false
 	}
-	t := o.targets[o.free[i].Address]
+	return o.grant(now, e, o.free[i].Address), true
+}
+
+// collectFree sets o.free to the targets with a free slot that the entry does
+// not exclude. It reports false if there are none or no grant may be made.
+func (o *Owner) collectFree(now snipetime.Instant, e *entry) bool {
+	if o.recovery.active || !now.Before(o.lease) {
+		return false
+	}
+	o.free = o.free[:0]
+	for _, t := range o.order {
+		if t.free() > 0 && !slices.Contains(e.acquire.Excluded, t.Address) {
+			o.free = append(o.free, sniperoute.Candidate{Address: t.Address, Used: t.used, Slots: t.Slots})
+		}
+	}
+	return len(o.free) > 0
+}
+
+// grant takes a slot of the target for the entry.
+func (o *Owner) grant(now snipetime.Instant, e *entry, address string) Reply {
+	t := o.targets[address]
 	t.used++
 	o.counter++
 	r := o.reply(e.acquire, Granted, ReasonNone, 0)
@@ -287,7 +314,7 @@
 	ttl := o.settings.TimeToLive
 	r.TimeToLive = now.Sub(e.arrived) + ttl - driftMargin(ttl+now.Sub(e.arrived))
 	o.add(&grant{reply: r, from: e.acquire.From, granted: now, expires: now.Add(ttl)})
-	return r, true
+	return r
 }
 
 // dispatch grants free slots to queued requests in deadline order.
