snipelimit: let requests wait for the tokens of a small cap

Cause: the burst of a small cap is one request, so that random callers are refused while the mean rate is free. Change: Bucket.Reserve gives a caller a place in the order of arrival; the token is spent and the lease checked at dispatch.

--- a/snipelimit/bucket.go
+++ b/snipelimit/bucket.go
@@ -35,6 +35,7 @@
 
 	spent   float64
 	refused float64
+	waiting []*Reservation // in the order in which they are served
 }
 
 // Spend takes amount from the bucket if the instance has a valid lease or loan
@@ -53,17 +54,25 @@
 		return idleWait, err
 	}
 	need := min(amount, b.burst)
+	if len(b.waiting) > 0 {
+		b.forgetWaiting(now)
+		need += b.reserved(len(b.waiting))
+	}
 	if b.tokens+slack < need || b.rate == 0 {
 		b.refused += amount
 		wait := b.waitFor(need)
 		b.mu.Unlock()
 		return wait, ErrCapReached
 	}
+	b.take(amount)
+	b.mu.Unlock()
+	return 0, nil
+}
+
+func (b *Bucket) take(amount float64) {
 	b.tokens -= amount
 	b.spent += amount
 	b.ramp.used += amount
-	b.mu.Unlock()
-	return 0, nil
 }
 
 // Correct charges the difference between a real amount and the amount that was
