snipemeasure: ask the planned places with no wait

Cause: a request accepted a queue of up to two control delays at the first place although the second one may have a free slot. Change: a request queues only at the place with the shortest expected wait.

--- a/snipemeasure/project.go
+++ b/snipemeasure/project.go
@@ -167,9 +167,7 @@
 // acquire asks the next place for a free slot, or queues when all were asked.
 func (p *project) acquire(c *call) {
 	remaining := p.m.settings.Timeout - p.m.now.Sub(c.arrived)
-	// A short queue at one place costs less than asking another one.
-	patience := 2 * p.m.settings.ControlDelay
-	a := snipeslot.Acquire{Budget: remaining, MaximumWait: patience}
+	a := snipeslot.Acquire{Budget: remaining}
 	place := c.best
 	if c.tried < len(c.plan) {
 		place = p.places[c.plan[c.tried].Place]
