snipeslot: let the last place that is asked queue the request

Cause: a request that found all places full needed a further message before it was in a queue. Change: Acquire.MaximumExpected lets the last place queue the request unless a place before it had a shorter expected wait.

--- a/snipemeasure/project.go
+++ b/snipemeasure/project.go
@@ -172,6 +172,11 @@
 	if c.tried < len(c.plan) {
 		place = p.places[c.plan[c.tried].Place]
 		c.tried++
+		if c.tried == len(c.plan) && c.tried > 1 {
+			// The last place queues the request if none before had a shorter wait,
+			// which saves a further message to it.
+			a.MaximumWait, a.MaximumExpected = remaining, max(c.bestWait, 1)
+		}
 	} else {
 		c.queueing = true
 		a.MaximumWait = remaining
--- a/snipeslot/messages.go
+++ b/snipeslot/messages.go
@@ -48,6 +48,9 @@
 	// with a longer expected wait is refused at once, so that it can ask another
 	// group.
 	MaximumWait time.Duration
+	// MaximumExpected is the expected wait above which the request is refused
+	// instead of queued; 0 sets no bound besides MaximumWait.
+	MaximumExpected time.Duration
 	// Excluded holds targets that this request has tried already.
 	Excluded []string
 	// Hedge requests are served from free slots only and do not queue.
--- a/snipeslot/owner.go
+++ b/snipeslot/owner.go
@@ -221,7 +221,7 @@
 		return o.reply(e.acquire, Refused, ReasonQueueFull, wait)
 	case !now.Add(wait).Before(e.deadline):
 		return o.reply(e.acquire, Refused, ReasonWouldMissDeadline, wait)
-	case wait > e.acquire.MaximumWait:
+	case wait > e.acquire.MaximumWait, e.acquire.MaximumExpected > 0 && wait > e.acquire.MaximumExpected:
 		return o.reply(e.acquire, Refused, ReasonNoSlot, wait)
 	}
 	if r, ok := o.grantSlow(now, e, wait); ok {
--- a/snipeslot/owner_test.go
+++ b/snipeslot/owner_test.go
@@ -74,6 +74,11 @@
 		if r := o.Acquire(now, request(fmt.Sprint("q", i), wait+1, time.Second)); r.State != Queued {
 			t.Errorf("%d ahead, budget %v: %+v", i, wait+1, r)
 		}
+		long := request(fmt.Sprint("e", i), time.Minute, time.Minute)
+		long.MaximumExpected = wait + 9*time.Millisecond // one more is queued now
+		if r := o.Acquire(now, long); r.Reason != ReasonNoSlot {
+			t.Errorf("%d ahead, expected wait above its bound: %+v", i+1, r)
+		}
 	}
 }
 
