--- a/snipeload/generator.go
+++ b/snipeload/generator.go
@@ -59,7 +59,8 @@
 	cfg    Config
 	sender Sender
 	report *Report
-	start  time.Time
+	// start is set again by Run, possibly while Progress reads it.
+	start atomic.Pointer[time.Time]
 
 	sent, finished atomic.Int64
 }
@@ -76,27 +77,31 @@
 	if cfg.MaxOutstanding <= 0 {
 		cfg.MaxOutstanding = defaultMaxOutstanding
 	}
-	return &Generator{cfg: cfg, sender: sender, report: NewReport(), start: time.Now()}, nil
+	g := &Generator{cfg: cfg, sender: sender, report: NewReport()}
+	now := time.Now()
+	g.start.Store(&now)
+	return g, nil
 }
 
 // Progress returns the counts so far. It is safe to call during Run.
 func (g *Generator) Progress() Progress {
-	return Progress{sent: g.sent.Load(), finished: g.finished.Load(), elapsed: time.Since(g.start)}
+	return Progress{sent: g.sent.Load(), finished: g.finished.Load(), elapsed: time.Since(*g.start.Load())}
 }
 
 // Run offers the load and returns the report when all requests have ended.
 // Cancelling ctx ends the arrivals and the requests in flight.
 func (g *Generator) Run(ctx context.Context) *Report {
-	g.start = time.Now()
+	start := time.Now()
+	g.start.Store(&start)
 	random := rand.New(rand.NewPCG(g.cfg.Seed, 1))
 	var wg sync.WaitGroup
 	due := time.Duration(0)
 	for n := 0; g.cfg.MaxRequests <= 0 || n < g.cfg.MaxRequests; n++ {
 		due += time.Duration(random.ExpFloat64() / g.cfg.Rate * float64(time.Second))
-		if due >= g.cfg.Duration || !waitUntil(ctx, g.start.Add(due)) {
+		if due >= g.cfg.Duration || !waitUntil(ctx, start.Add(due)) {
 			break
 		}
-		dueAt := g.start.Add(due)
+		dueAt := start.Add(due)
 		if g.sent.Add(1)-g.finished.Load() > int64(g.cfg.MaxOutstanding) {
 			g.finish(n, Result{outcome: Failed, reason: "outstanding"}, dueAt)
 			continue
@@ -108,7 +113,7 @@
 		}()
 	}
 	wg.Wait()
-	g.report.setElapsed(time.Since(g.start))
+	g.report.setElapsed(time.Since(start))
 	return g.report
 }
 
