--- /dev/null
+++ b/snipecli/app.go
@@ -0,0 +1,165 @@
+package snipecli
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/snipemoor/snipemoor/snipeconfig"
+	"github.com/snipemoor/snipemoor/snipetime"
+)
+
+// The exit statuses of the command line.
+const (
+	// ExitOK means that the command did what it was told to do.
+	ExitOK = 0
+	// ExitFailed means that the operation failed: it was refused, based on a
+	// stale generation, not in force in time, or a guarantee was broken.
+	ExitFailed = 1
+	// ExitUsage means that the arguments or the documents are invalid.
+	ExitUsage = 2
+	// ExitUnclear means that the outcome of a change is not known.
+	ExitUnclear = 3
+)
+
+// Clock is the part of a timer service that the commands need.
+type Clock interface {
+	Now() snipetime.Instant
+	After(delay time.Duration, f func(snipetime.Instant)) (cancel func())
+}
+
+// Dependencies are what an App needs from its process.
+type Dependencies struct {
+	// Stdout receives results, Stderr errors and progress.
+	Stdout, Stderr io.Writer
+	// Clock is the clock of waits and time limits.
+	Clock Clock
+	// Terminal states whether Stderr is a terminal, on which a progress line
+	// can be overwritten.
+	Terminal bool
+}
+
+// App is the command line.
+type App struct {
+	deps Dependencies
+}
+
+// New returns a command line. All dependencies but Terminal are required.
+func New(deps Dependencies) *App { return &App{deps: deps} }
+
+// Run parses and runs one command line, without the name of the program, and
+// returns the exit status. Errors are written to Stderr.
+func (a *App) Run(ctx context.Context, args []string) int {
+	var line commandLine
+	exited := false
+	parser, err := kong.New(&line,
+		kong.Name("snipemoor"),
+		kong.Description("Operates a snipemoor fleet.\n\nExit status: 0 success, 1 failed operation, 2 bad input or usage, 3 unclear outcome."),
+		kong.Writers(a.deps.Stdout, a.deps.Stderr),
+		kong.Exit(func(int) { exited = true }),
+		kong.BindTo(ctx, (*context.Context)(nil)),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true, WrapUpperBound: 100}),
+	)
+	if err != nil {
+		return a.report(fmt.Errorf("build command line: %w", err))
+	}
+	parsed, err := parser.Parse(args)
+	if exited {
+		return ExitOK
+	}
+	if err != nil {
+		return a.report(withStatus(ExitUsage, fmt.Errorf("%w (see snipemoor --help)", err)))
+	}
+	return a.report(parsed.Run(&session{deps: a.deps, json: line.Output == "json"}))
+}
+
+// report writes an error and returns the exit status that belongs to it.
+func (a *App) report(err error) int {
+	if err == nil {
+		return ExitOK
+	}
+	// Nothing is left to tell a reader that cannot be written to.
+	_, _ = fmt.Fprintf(a.deps.Stderr, "snipemoor: %v\n", err)
+	var status *statusError
+	if errors.As(err, &status) {
+		return status.status
+	}
+	if _, ok := snipeconfig.AsFaults(err); ok {
+		return ExitUsage
+	}
+	return ExitFailed
+}
+
+// statusError is an error with an exit status other than ExitFailed.
+type statusError struct {
+	status int
+	err    error
+}
+
+func withStatus(status int, err error) error { return &statusError{status: status, err: err} }
+
+// Error returns the text of the wrapped error.
+func (e *statusError) Error() string { return e.err.Error() }
+
+// Unwrap returns the wrapped error.
+func (e *statusError) Unwrap() error { return e.err }
+
+// session is what a running command uses.
+type session struct {
+	deps Dependencies
+	json bool
+}
+
+// result is the output of a command. Its JSON form is its exported fields.
+type result interface {
+	writeText(w io.Writer) error
+}
+
+// print writes a result in the chosen format.
+func (s *session) print(r result) error {
+	if !s.json {
+		return r.writeText(s.deps.Stdout)
+	}
+	encoder := json.NewEncoder(s.deps.Stdout)
+	encoder.SetIndent("", "  ")
+	if err := encoder.Encode(r); err != nil {
+		return fmt.Errorf("write output: %w", err)
+	}
+	return nil
+}
+
+// pause waits for a delay, or returns an error if ctx ends first.
+func (s *session) pause(ctx context.Context, delay time.Duration) error {
+	done := make(chan struct{})
+	cancel := s.deps.Clock.After(delay, func(snipetime.Instant) { close(done) })
+	defer cancel()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("wait: %w", ctx.Err())
+	}
+}
+
+// printf writes formatted text.
+func printf(w io.Writer, format string, args ...any) error {
+	if _, err := fmt.Fprintf(w, format, args...); err != nil {
+		return fmt.Errorf("write output: %w", err)
+	}
+	return nil
+}
+
+// printLines writes one line for each text.
+func printLines(w io.Writer, lines []string) error {
+	for _, line := range lines {
+		if err := printf(w, "%s\n", line); err != nil {
+			return err
+		}
+	}
+	return nil
+}
