--- a/snipecli/app.go
+++ b/snipecli/app.go
@@ -6,11 +6,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"strconv"
 	"time"
 
 	"github.com/alecthomas/kong"
 
 	"github.com/snipemoor/snipemoor/snipeconfig"
+	"github.com/snipemoor/snipemoor/snipedemo"
 	"github.com/snipemoor/snipemoor/snipetime"
 )
 
@@ -60,6 +62,7 @@
 	parser, err := kong.New(&line,
 		kong.Name("snipemoor"),
 		kong.Description("Operates a snipemoor fleet.\n\nExit status: 0 success, 1 failed operation, 2 bad input or usage, 3 unclear outcome."),
+		kong.Vars{"demoLoad": strconv.FormatFloat(snipedemo.DefaultLoad, 'g', -1, 64)},
 		kong.Writers(a.deps.Stdout, a.deps.Stderr),
 		kong.Exit(func(int) { exited = true }),
 		kong.BindTo(ctx, (*context.Context)(nil)),
--- a/snipecli/commands.go
+++ b/snipecli/commands.go
@@ -15,6 +15,7 @@
 	Status   statusCommand   `cmd:"" help:"Show the status of an instance and what it knows of the fleet."`
 	Lookup   lookupCommand   `cmd:"" help:"Ask which entry instances serve a client block."`
 	Load     loadCommand     `cmd:"" help:"Offer load to a service as its callers do."`
+	Demo     demoCommand     `cmd:"" help:"Run an example deployment on loopback and check its guarantees."`
 	Version  versionCommand  `cmd:"" help:"Show the version of this program."`
 }
 
--- a/snipeload/caller.go
+++ b/snipeload/caller.go
@@ -76,6 +76,7 @@
 	requestID string
 	body      []byte
 	tries     int
+	cuts      int
 	err       error
 }
 
@@ -97,6 +98,10 @@
 // Tries returns how often the request was sent to an entry instance.
 func (r Result) Tries() int { return r.tries }
 
+// Cuts returns how many tries lost their connection after it was opened and
+// before the response was complete.
+func (r Result) Cuts() int { return r.cuts }
+
 // Err returns the last transport error of a Failed result.
 func (r Result) Err() error { return r.err }
 
@@ -250,6 +255,7 @@
 	}
 	id := found.RequestIDPrefix + "." + strconv.FormatUint(c.counter.Add(1), 10)
 	result := Result{outcome: Failed, reason: "connection", requestID: id}
+	cuts := 0
 	for try := range maxTries {
 		entry := found.Entries[try%len(found.Entries)]
 		got, err := c.send(ctx, entry, id, time.Until(deadline), r)
@@ -262,8 +268,13 @@
 				result.reason = "timeout"
 				return result
 			}
+			if !isDialError(err) {
+				cuts++
+			}
+			result.cuts = cuts
 			continue
 		}
+		got.cuts = cuts
 		result = got
 		if got.outcome != NotRun || got.reason != reasonStopping {
 			return got
@@ -273,6 +284,12 @@
 	return result
 }
 
+// isDialError reports whether no connection was made.
+func isDialError(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
+}
+
 func (c *Caller) send(ctx context.Context, entry Entry, id string, budget time.Duration, r Request) (Result, error) {
 	result := Result{requestID: id}
 	method := r.Method
--- a/snipestandin/network.go
+++ b/snipestandin/network.go
@@ -133,13 +133,22 @@
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
 // Dialer returns a function that dials from a place.
-func (n *Network) Dialer(from string) DialFunc {
+func (n *Network) Dialer(from string) DialFunc { return n.DialerFrom(from, netip.Addr{}) }
+
+// DialerFrom returns a function that dials from a place and a local address,
+// so that the other end sees a client of a certain address block. An invalid
+// address leaves the choice to the system.
+func (n *Network) DialerFrom(from string, local netip.Addr) DialFunc {
+	var dialer net.Dialer
+	if local.IsValid() {
+		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(local, 0))
+	}
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		return n.dial(ctx, from, network, address)
+		return n.dial(ctx, &dialer, from, network, address)
 	}
 }
 
-func (n *Network) dial(ctx context.Context, from, network, address string) (net.Conn, error) {
+func (n *Network) dial(ctx context.Context, dialer *net.Dialer, from, network, address string) (net.Conn, error) {
 	to := ""
 	if ap, err := netip.ParseAddrPort(address); err == nil {
 		to = n.settings.PlaceOf(ap)
@@ -153,7 +162,6 @@
 	if !sleepReal(ctx, 2*delay) {
 		return nil, fmt.Errorf("dial %s from %s: %w", address, from, ctx.Err())
 	}
-	var dialer net.Dialer
 	conn, err := dialer.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, fmt.Errorf("dial from %s: %w", from, err)
