--- a/snipedemo/live.go
+++ b/snipedemo/live.go
@@ -16,7 +16,7 @@
 
 // showLive writes a line a second until ctx ends.
 func (d *demo) showLive(ctx context.Context, streams []*stream) {
-	d.live("%6s %9s %9s %9s %9s %9s %10s %10s %6s\n",
+	d.livef("%6s %9s %9s %9s %9s %9s %10s %10s %6s\n",
 		"time", "sent", "done", "not run", "unknown", "failed", "free slots", "generation", "up")
 	ticker := time.NewTicker(liveInterval)
 	defer ticker.Stop()
@@ -47,13 +47,13 @@
 			generation = min(generation, i.daemon.Generation())
 		}
 	}
-	d.live("%6s %9d %9d %9d %9d %9d %9.0f%% %10d %6d\n",
+	d.livef("%6s %9d %9d %9d %9d %9d %9.0f%% %10d %6d\n",
 		time.Since(d.loadStart).Round(time.Second), sent, outcomes[snipeload.Done], outcomes[snipeload.NotRun],
 		outcomes[snipeload.Unknown], outcomes[snipeload.Failed], 100*free, generation, up)
 }
 
-// live writes to the live table. A reader that is gone does not end the demo.
-func (d *demo) live(format string, args ...any) {
+// livef writes to the live table. A reader that is gone does not end the demo.
+func (d *demo) livef(format string, args ...any) {
 	_, _ = fmt.Fprintf(d.settings.Live, format, args...)
 }
 
