--- a/snipedemo/report.go
+++ b/snipedemo/report.go
@@ -49,6 +49,9 @@
 	// StoppedInstance stopped as planned within StopTime.
 	StoppedInstance string `json:"stoppedInstance"`
 	StopTime        string `json:"stopTime"`
+	// LostConnections counts requests before the stop whose caller lost the
+	// connection to the entry instance, as after a response that a target cut.
+	LostConnections int `json:"lostConnections"`
 	// InForceTime is the longest time until a generation was in force.
 	InForceTime string `json:"inForceTime"`
 	// Reasons are refusals and retries as counted by the instances.
@@ -125,7 +128,7 @@
 		r.LastStart, r.DrainTime = last.Round(time.Millisecond).String(), idle.Round(time.Millisecond).String()
 	}
 	r.add(6, "no new work at a leaving target after 3 s", drainFinding)
-	r.add(7, "a planned stop interrupts nothing", r.stop(d), a.cuts())
+	r.add(7, "a planned stop interrupts nothing", r.stop(d, a)...)
 	r.add(8, "configuration in force within 3 s, never reverts",
 		Finding{Name: "generations not in force within 3 s", Count: d.sampler.late()},
 		Finding{Name: "reverts", Count: d.sampler.reverts})
@@ -136,18 +139,20 @@
 }
 
 // stop returns what the planned stop did wrong.
-func (r *Report) stop(d *demo) Finding {
-	f := Finding{Name: "planned stops that failed"}
+func (r *Report) stop(d *demo, a *audit) []Finding {
+	failed := Finding{Name: "planned stops that failed"}
 	if d.stopped == nil {
-		f.Count, f.Example = 1, "the stop did not begin"
-		return f
+		failed.Count, failed.Example = 1, "the stop did not begin"
+		return []Finding{failed}
 	}
 	r.StoppedInstance = d.stopped.address
 	r.StopTime = d.stopped.ended.Sub(d.stopped.began).Round(time.Millisecond).String()
 	if d.stopped.err != nil {
-		f.Count, f.Example, r.StopTime = 1, d.stopped.err.Error(), "not finished"
+		failed.Count, failed.Example, r.StopTime = 1, d.stopped.err.Error(), "not finished"
 	}
-	return f
+	cut, before := a.cuts(d.stopped.began)
+	r.LostConnections = before
+	return []Finding{failed, cut}
 }
 
 func (a *audit) executionsOf(d *drainRecord) []execution {
@@ -232,6 +237,7 @@
 	}
 	fmt.Fprintf(&b, "\ndrain of target %s: last new work after %s, idle after %s\n", r.DrainedTarget, r.LastStart, r.DrainTime)
 	fmt.Fprintf(&b, "planned stop of instance %s: %s\n", r.StoppedInstance, r.StopTime)
+	fmt.Fprintf(&b, "connections lost by callers before the stop: %d\n", r.LostConnections)
 	fmt.Fprintf(&b, "configuration in force after at most %s\n\n", r.InForceTime)
 	for _, reason := range r.Reasons {
 		fmt.Fprintf(&b, "%-34s %-24s %8d\n", reason.Counter, reason.Reason, reason.Count)
--- a/snipedemo/settings.go
+++ b/snipedemo/settings.go
@@ -19,7 +19,7 @@
 	// DefaultDuration is the duration of the load.
 	DefaultDuration = 20 * time.Second
 	// DefaultLoad is the part of the slots' capacity that the load takes up.
-	DefaultLoad = 0.2
+	DefaultLoad = 0.15
 	// minDuration leaves time for a drain and a planned stop under load.
 	minDuration = 10 * time.Second
 )
--- a/snipedemo/traffic.go
+++ b/snipedemo/traffic.go
@@ -38,6 +38,7 @@
 	outcome snipeload.Outcome
 	reason  string
 	cuts    int
+	at      time.Time
 }
 
 // wrongAnswer is a complete response that does not belong to its request.
@@ -150,7 +151,7 @@
 	}
 	s.ledger.add(told{
 		id: r.RequestID(), service: s.service, home: s.home,
-		outcome: r.Outcome(), reason: r.Reason(), cuts: r.Cuts(),
+		outcome: r.Outcome(), reason: r.Reason(), cuts: r.Cuts(), at: time.Now(),
 	}, wrong, request.IdempotencyKey)
 }
 
