--- /dev/null
+++ b/snipedemo/demo_test.go
@@ -0,0 +1,82 @@
+package snipedemo_test
+
+import (
+	"context"
+	"fmt"
+	"io/fs"
+	"strings"
+	"testing"
+	"testing/fstest"
+	"time"
+
+	"github.com/snipemoor/snipemoor/examples"
+	"github.com/snipemoor/snipemoor/snipedemo"
+	"github.com/snipemoor/snipemoor/snipeload"
+)
+
+// movedFiles returns the examples with the addresses of bakhour moved, so that
+// the test does not collide with a demo on the same machine.
+func movedFiles(t *testing.T) fs.FS {
+	t.Helper()
+	moved := fstest.MapFS{}
+	replacer := strings.NewReplacer(`"127.2.0.`, `"127.92.0.`, `"127.20.`, `"127.93.`)
+	files := examples.Files()
+	err := fs.WalkDir(files, "bakhour", func(name string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() {
+			return err
+		}
+		data, err := files.ReadFile(name)
+		moved[name] = &fstest.MapFile{Data: []byte(replacer.Replace(string(data)))}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return moved
+}
+
+// Guards against a demo that ends without load, drain or planned stop, and
+// against a system that breaks a guarantee under light load.
+func TestRun(t *testing.T) {
+	const seed = 7
+	t.Logf("seed %d", seed)
+	report, err := snipedemo.Run(t.Context(), snipedemo.Settings{
+		Deployment: "bakhour", Files: movedFiles(t), Duration: 10 * time.Second, Load: 0.05, Seed: seed, Live: t.Output(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := report.WriteText(t.Output()); err != nil {
+		t.Fatal(err)
+	}
+	if len(report.Services) != 4 || len(report.Guarantees) != 8 || report.DrainedTarget == "" || report.StoppedInstance == "" {
+		t.Errorf("report is incomplete: %+v", report)
+	}
+	for name, service := range report.Services {
+		if done := service.Outcomes()[snipeload.Done]; done*10 < service.Total()*9 {
+			t.Errorf("%s: %d of %d requests are done, want nine tenths", name, done, service.Total())
+		}
+	}
+	if broken := report.Broken(); len(broken) > 0 {
+		t.Errorf("broken guarantees: %v", broken)
+	}
+}
+
+func ExampleSettings_Check() {
+	settings := snipedemo.Settings{Deployment: "society", Files: examples.Files(), Duration: time.Second}
+	fmt.Println(settings.Check())
+	// Output: duration 1s is shorter than 10s
+}
+
+// Guards against settings that start a part of the demo before they are refused.
+func TestBadSettings(t *testing.T) {
+	for name, s := range map[string]snipedemo.Settings{
+		"deployment": {Deployment: "nonsense", Files: examples.Files()},
+		"files":      {Deployment: "society"},
+		"load":       {Deployment: "society", Files: examples.Files(), Load: 1.5},
+	} {
+		if report, err := snipedemo.Run(context.Background(), s); err == nil || report != nil {
+			t.Errorf("%s: no error", name)
+		}
+	}
+}
