--- a/snipedemo/demo.go
+++ b/snipedemo/demo.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -154,10 +155,28 @@
 	return d.stopOne(ctx)
 }
 
-// drain announces the drain of the first target of the first service.
+// busiest returns the target that has run the most requests so far.
+func (d *demo) busiest() (service *snipeconfig.Service, target netip.AddrPort) {
+	most := -1
+	for _, team := range d.config.Teams() {
+		for _, s := range team.Services() {
+			for _, t := range s.Targets() {
+				standin, ok := d.world.standins.Target(t.Address().String())
+				if !ok {
+					continue
+				}
+				if n := int(standin.Stats().Executed); n > most {
+					most, service, target = n, s, t.Address()
+				}
+			}
+		}
+	}
+	return service, target
+}
+
+// drain announces the drain of the busiest target.
 func (d *demo) drain(ctx context.Context) error {
-	service := d.config.Teams()[0].Services()[0]
-	target := service.Targets()[0].Address()
+	service, target := d.busiest()
 	document, err := drainDocument(target)
 	if err != nil {
 		return err
