snipepeer: leave the end of a rejected session to the peer

TestIncarnationChange failed in 1 of 1440 runs under load with "write frame: session shutdown". yamux's Write waits for either its own result or the shutdown of the session. The rejecting side replied and closed at once, so both were ready and the write of the Hello could report the shutdown; a real peer lost the rejection and the epoch to exceed in the same way. The rejecting side now waits for the peer to close, within the handshake timeout. The new test fails before the change in every run; after it 1440 runs under the same load and 100 runs with -race pass.

--- a/snipepeer/frame_test.go
+++ b/snipepeer/frame_test.go
@@ -72,6 +72,22 @@
 	}
 }
 
+// Guards against a rejection that is lost because the rejecting side closes the
+// session while the other side is still in the write of its Hello.
+func TestRejectedSessionStaysUntilPeerCloses(t *testing.T) {
+	noLeaks(t)
+	n := testNode(t, "n", nil, nil, nil)
+	hello := &snipewire.Hello{Address: "peer:1", Incarnation: "p", SessionEpoch: 5}
+	_ = rawHello(t, n.settings.Address, hello)
+	mux, control := rawSession(t, n.settings.Address)
+	if r := sayHello(t, control, hello); r.GetError() == "" {
+		t.Fatal("a second session of the same epoch was accepted")
+	}
+	if _, err := mux.Ping(); err != nil {
+		t.Errorf("ping after the rejection: %v", err)
+	}
+}
+
 // Guards against invalid bytes from a peer that crash the process, stay
 // uncounted or leave the session open.
 func TestInvalidFramesCloseSession(t *testing.T) {
--- a/snipepeer/handshake.go
+++ b/snipepeer/handshake.go
@@ -325,7 +325,9 @@
 			Error: err.Error(),
 			Body:  &snipewire.Control_Hello{Hello: n.hello(max(floor, 1))},
 		}
-		_ = writeMessage(control, MaxFrame, reply)
+		if writeMessage(control, MaxFrame, reply) == nil {
+			awaitPeerClose(ctx, mux)
+		}
 		return nil, err
 	}
 	reply := &snipewire.Control{Body: &snipewire.Control_Hello{Hello: n.hello(h.GetSessionEpoch())}}
@@ -336,6 +338,17 @@
 	return s, nil
 }
 
+// awaitPeerClose leaves the end of a rejected session to the peer. If this side
+// closed it right after the reply, the peer's write of its Hello could still be
+// waiting for its result and fail with "session shutdown", and the rejection
+// with the epoch to exceed would be lost.
+func awaitPeerClose(ctx context.Context, mux *yamux.Session) {
+	select {
+	case <-mux.CloseChan():
+	case <-ctx.Done():
+	}
+}
+
 // awaitOwnDial lets a dial of this instance to address finish first if this
 // side has precedence. Without it, a pair that dials at once would open one
 // session and replace it by the other while requests run on it. The wait is
