--- a/snipedaemon/forwarding.go
+++ b/snipedaemon/forwarding.go
@@ -41,6 +41,7 @@
 	f.forwarder = snipeforward.New(snipeforward.Dependencies{
 		Clock: d.clock, Config: f, Planner: f, Limits: f, Slots: slotAdapter{f}, Targets: d.pools, Relays: f,
 		Records: recordAdapter{f}, Policies: f, Lookups: f, Region: d.region, Incarnation: d.self.incarnation,
+		Log: d.log,
 	}, registry)
 	d.node.HandleRelay(f.forwarder.ServeRelay)
 	snipepeer.HandleCall(d.node, f.answerAttemptStatus)
--- a/snipeforward/attempt.go
+++ b/snipeforward/attempt.go
@@ -97,6 +97,11 @@
 	return float64(size) * bitsPerByte, float64(q.service.AnswerBytes) * bitsPerByte
 }
 
+// sentBits returns the bits of a request that was sent.
+func sentBits(q *request) float64 {
+	return float64(q.body.size()+headerBytes(q.header)) * bitsPerByte
+}
+
 // shift spends the tokens of a request that is served away from home. The
 // returned function charges what was really transferred.
 func (f *Forwarder) shift(q *request, place Place) (settle func(bits float64), refusal *Refusal) {
--- a/snipeforward/body.go
+++ b/snipeforward/body.go
@@ -5,13 +5,17 @@
 	"errors"
 	"fmt"
 	"io"
-	"sync/atomic"
+	"os"
+	"sync"
 )
 
 // maxBufferedBody is the largest body that is kept so that it can be sent again.
 const maxBufferedBody = 64 << 10
 
-var errBodyTooLarge = errors.New("request body is too large")
+var (
+	errBodyTooLarge = errors.New("request body is too large")
+	errBodyConsumed = errors.New("request body was sent by another attempt")
+)
 
 // body is the body of a request. A small one is read whole before the first
 // attempt, so that it can be sent again; a larger one can be sent only while
@@ -21,7 +25,16 @@
 	buffered []byte
 	whole    bool
 	rest     io.Reader
-	consumed atomic.Bool
+
+	mu sync.Mutex
+	// owner is the only reader that may consume the body. An attempt that has
+	// ended can still hold an older one.
+	owner    *consumingReader
+	consumed int64
+	started  bool
+	// reading is set while a read waits for the caller.
+	reading bool
+	err     error
 }
 
 // readBody reads up to maxBufferedBody of src. limit bounds the whole body.
@@ -50,18 +63,67 @@
 }
 
 // repeatable reports whether the body can be sent now.
-func (b *body) repeatable() bool { return b.whole || !b.consumed.Load() }
+func (b *body) repeatable() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.whole || !b.started
+}
+
+// size returns the length of the body, or what was consumed of a body of
+// unknown length.
+func (b *body) size() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.length >= 0 {
+		return b.length
+	}
+	return b.consumed
+}
+
+// fault returns the reason why the body could not be read, or "". It is the
+// caller's fault, not one of the target or relay that was to receive the body.
+func (b *body) fault() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return bodyFault(b.err)
+}
+
+// waiting reports whether an attempt waits for more of the body.
+func (b *body) waiting() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.reading
+}
 
-// reader returns the body for one attempt, nil if it is empty.
+func bodyFault(err error) string {
+	switch {
+	case err == nil:
+		return ""
+	case errors.Is(err, errBodyTooLarge):
+		return reasonBodyTooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return reasonDeadline
+	default:
+		return reasonBodyCut
+	}
+}
+
+// reader returns the body for one attempt, nil if it is empty. It takes the
+// body away from the readers of earlier attempts.
 func (b *body) reader() io.ReadCloser {
 	switch {
 	case b.whole && b.length == 0:
 		return nil
 	case b.whole:
 		return io.NopCloser(bytes.NewReader(b.buffered))
-	default:
-		return io.NopCloser(&consumingReader{body: b, r: io.MultiReader(bytes.NewReader(b.buffered), b.rest)})
 	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c := &consumingReader{body: b, r: io.MultiReader(bytes.NewReader(b.buffered), b.rest)}
+	if !b.started {
+		b.owner = c
+	}
+	return io.NopCloser(c)
 }
 
 // consumingReader marks a body as consumed by its first read.
@@ -72,8 +134,23 @@
 
 // Read implements io.Reader.
 func (c *consumingReader) Read(p []byte) (int, error) {
-	c.body.consumed.Store(true)
-	return c.r.Read(p) //nolint:wrapcheck // io.EOF must stay what it is
+	b := c.body
+	b.mu.Lock()
+	if b.owner != c {
+		b.mu.Unlock()
+		return 0, errBodyConsumed
+	}
+	b.started, b.reading = true, true
+	b.mu.Unlock()
+	n, err := c.r.Read(p)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reading = false
+	b.consumed += int64(n)
+	if err != nil && !errors.Is(err, io.EOF) && b.err == nil {
+		b.err = err
+	}
+	return n, err //nolint:wrapcheck // io.EOF must stay what it is
 }
 
 // limitedBody fails with errBodyTooLarge past its limit.
--- a/snipeforward/forwarder.go
+++ b/snipeforward/forwarder.go
@@ -12,6 +12,7 @@
 
 	"github.com/labstack/echo/v4"
 	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
 
 	"github.com/snipemoor/snipemoor/snipeonce"
 	"github.com/snipemoor/snipemoor/sniperetry"
@@ -22,6 +23,10 @@
 	readHeaderTimeout = 10 * time.Second
 	// idleTimeout ends idle connections of callers.
 	idleTimeout = 2 * time.Minute
+	// plainTimeout bounds the write of a response that is not forwarded.
+	plainTimeout = 10 * time.Second
+	// refusalTime is left after the deadline of a request to write a refusal.
+	refusalTime = time.Second
 	// maxServerHeader bounds headers before the limit of the service is known.
 	maxServerHeader = 1 << 20
 	// keptAnswerBytes is the largest response that a record keeps.
@@ -42,6 +47,8 @@
 	Lookups  Lookups
 	// Incarnation identifies this process in the identifiers of attempts.
 	Incarnation string
+	// Log receives panics of relayed requests; nil discards them.
+	Log *zap.Logger
 	// Region is the region of this instance; "" until it is known.
 	Region func() string
 }
@@ -50,6 +57,7 @@
 type Forwarder struct {
 	deps     Dependencies
 	metrics  *metrics
+	log      *zap.Logger
 	stopping atomic.Bool
 	inFlight atomic.Int64
 	attempts atomic.Uint64
@@ -58,7 +66,11 @@
 // New returns a forwarder and registers its metrics. It panics if a metric is
 // registered already.
 func New(deps Dependencies, registry prometheus.Registerer) *Forwarder {
-	return &Forwarder{deps: deps, metrics: newMetrics(registry)}
+	log := deps.Log
+	if log == nil {
+		log = zap.NewNop()
+	}
+	return &Forwarder{deps: deps, metrics: newMetrics(registry), log: log}
 }
 
 // Server returns an HTTP server for callers. ready reports whether the instance
@@ -76,9 +88,18 @@
 		return c.String(http.StatusOK, "ready\n")
 	})
 	e.GET("/v1/entries", f.entries)
-	e.Any("/call/*", f.call)
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		// The deadline of an earlier request on the connection must not stay.
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(plainTimeout))
+		// The router of echo accepts only the methods that it knows.
+		if strings.HasPrefix(r.URL.Path, "/call/") {
+			f.call(w, r)
+			return
+		}
+		e.ServeHTTP(w, r)
+	}
 	return &http.Server{
-		Handler: e, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxServerHeader,
+		Handler: http.HandlerFunc(handler), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxServerHeader,
 	}
 }
 
@@ -111,30 +132,28 @@
 }
 
 // call serves one request of a caller.
-func (f *Forwarder) call(c echo.Context) error {
+func (f *Forwarder) call(w http.ResponseWriter, r *http.Request) {
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
-	w, r := c.Response(), c.Request()
 	s := newHTTPSink(w, r.Method)
 	started := f.deps.Clock.Now()
-	q, refused := f.accept(w, r)
+	q, refused := f.accept(w, r, s.control)
 	if refused != nil {
 		s.Refuse(*refused)
 		f.metrics.ended(q.service, *refused)
-		return nil
+		return
 	}
 	observed := &observer{sink: s, metrics: f.metrics, service: q.service, clock: f.deps.Clock, started: started}
-	f.serve(r.Context(), q, observed, 0)
+	f.serve(r.Context(), q, observed)
 	if s.aborted {
 		panic(http.ErrAbortHandler)
 	}
-	return nil
 }
 
 // serve takes an accepted request to its end.
-func (f *Forwarder) serve(ctx context.Context, q *request, s sink, hops int) {
+func (f *Forwarder) serve(ctx context.Context, q *request, s sink) {
 	if q.class == sniperetry.Once {
-		f.serveOnce(ctx, q, s, hops)
+		f.serveOnce(ctx, q, s)
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, f.left(q))
@@ -147,7 +166,7 @@
 
 // accept checks a request. With a refusal the request has at least a service
 // name for the counters.
-func (f *Forwarder) accept(w http.ResponseWriter, r *http.Request) (*request, *end) {
+func (f *Forwarder) accept(w http.ResponseWriter, r *http.Request, control *http.ResponseController) (*request, *end) {
 	q := &request{method: r.Method, header: r.Header, key: r.Header.Get(headerKey), running: new(atomic.Pointer[string])}
 	given := r.Header.Get(headerRequestID)
 	f.commonHeaders(w, "")
@@ -161,7 +180,7 @@
 		q.id = f.deps.Records.Issue()
 	}
 	f.commonHeaders(w, q.id.String())
-	refused := f.check(q, r)
+	refused := f.check(q, r, control)
 	if refused == nil {
 		return q, nil
 	}
@@ -169,7 +188,7 @@
 }
 
 // check finds the service and checks the limits of a request.
-func (f *Forwarder) check(q *request, r *http.Request) *end {
+func (f *Forwarder) check(q *request, r *http.Request, control *http.ResponseController) *end {
 	team, name, uri, ok := splitURI(r.RequestURI)
 	if !ok {
 		return &end{outcome: outcomeNotRun, reason: reasonUnknownService, detail: "the path names no team and service"}
@@ -194,18 +213,24 @@
 	if f.stopping.Load() && q.class != sniperetry.Once {
 		return &end{outcome: outcomeNotRun, reason: reasonStopping, retryAfter: time.Second}
 	}
-	if headerBytes(r.Header) > service.MaxHeader {
+	// A caller that neither sends its body nor takes the response must not keep
+	// a slot. Writers that have no deadlines are those of tests.
+	_ = control.SetReadDeadline(time.Now().Add(budget))
+	_ = control.SetWriteDeadline(time.Now().Add(budget + refusalTime))
+	if headerBytes(r.Header)+int64(len(uri)) > service.MaxHeader {
 		e := notRun(reasonHeaderTooLarge)
 		return &e
 	}
 	if q.body, err = readBody(r.Body, r.ContentLength, service.MaxBody); err != nil {
-		e := notRun(reasonBodyCut)
-		if errors.Is(err, errBodyTooLarge) {
-			e.reason = reasonBodyTooLarge
-		}
+		e := notRun(bodyFault(err))
 		e.detail = err.Error()
 		return &e
 	}
+	if !q.body.whole {
+		// A target can answer before it has read the whole body. Otherwise
+		// net/http discards the rest when the response begins.
+		_ = control.EnableFullDuplex()
+	}
 	if client, err := netip.ParseAddrPort(r.RemoteAddr); err == nil {
 		q.client = client.Addr()
 	}
@@ -230,6 +255,11 @@
 
 // splitURI takes the request target apart without decoding it.
 func splitURI(target string) (team, service, uri string, ok bool) {
+	if _, rest, absolute := strings.Cut(target, "://"); absolute && !strings.HasPrefix(target, "/") {
+		// The absolute form of RFC 9112, section 3.2.2, names the host too.
+		_, rest, _ = strings.Cut(rest, "/")
+		target = "/" + rest
+	}
 	rest, ok := strings.CutPrefix(target, "/call/")
 	team, rest, found := strings.Cut(rest, "/")
 	stop := strings.IndexAny(rest, "/?")
--- a/snipeforward/hedge.go
+++ b/snipeforward/hedge.go
@@ -12,6 +12,9 @@
 	answer *answer
 	failed *failure
 	hedge  bool
+	// panicked is the value of a panic, which is raised again on the goroutine
+	// of the request so that it does not end the process.
+	panicked any
 }
 
 // attemptHedged makes one attempt, and a second one beside it if the class is
@@ -49,9 +52,14 @@
 		cancelSecond()
 	}
 	r := <-results
-	if r.failed != nil {
+	if r.answer == nil && r.panicked == nil {
 		// The other attempt can still succeed.
-		return keep(<-results, cancelBoth)
+		a, failed := keep(<-results, cancelBoth)
+		if failed != nil {
+			failed.began = r.failed.kind.Begun()
+			failed.beside = r.failed.target
+		}
+		return a, failed
 	}
 	if r.hedge {
 		cancelFirst()
@@ -71,20 +79,28 @@
 		own.exclude(*target)
 	}
 	go func() {
-		a, failed := f.attempt(ctx, &own, hedge)
-		results <- attempted{a, failed, hedge}
+		r := attempted{hedge: hedge}
+		defer func() {
+			r.panicked = recover()
+			results <- r
+		}()
+		r.answer, r.failed = f.attempt(ctx, &own, hedge)
 	}()
 }
 
 // keep returns a result whose context ends with the response.
 func keep(r attempted, cancel context.CancelFunc) (*answer, *failure) {
+	if r.panicked != nil {
+		cancel()
+		panic(r.panicked)
+	}
 	if r.failed != nil {
 		cancel()
 		return nil, r.failed
 	}
 	finish := r.answer.finish
-	r.answer.finish = func(complete bool) {
-		finish(complete)
+	r.answer.finish = func(how ending) {
+		finish(how)
 		cancel()
 	}
 	return r.answer, nil
@@ -93,6 +109,6 @@
 // discard ends the attempt that lost.
 func discard(results <-chan attempted) {
 	if r := <-results; r.answer != nil {
-		r.answer.finish(false)
+		r.answer.finish(endedHere)
 	}
 }
--- a/snipeforward/metrics.go
+++ b/snipeforward/metrics.go
@@ -15,6 +15,7 @@
 	retries  *prometheus.CounterVec
 	attempts *prometheus.CounterVec
 	spills   *prometheus.CounterVec
+	panics   prometheus.Counter
 	latency  *prometheus.HistogramVec
 }
 
@@ -28,12 +29,15 @@
 		retries:  counter("snipemoor_retries_total", "Retries and hedges by reason.", "team", "service", "reason"),
 		attempts: counter("snipemoor_attempts_total", "Attempts sent to targets or relayed.", "team", "service", "kind"),
 		spills:   counter("snipemoor_passed_over_total", "Places passed over by reason.", "team", "service", "reason"),
+		panics: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "snipemoor_relay_panics_total", Help: "Relayed requests that ended by a panic.",
+		}),
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "snipemoor_request_seconds", Help: "Time from the headers of a request to the end of its response.",
 			Buckets: prometheus.ExponentialBuckets(0.001, 2, 16),
 		}, []string{"team", "service"}),
 	}
-	registry.MustRegister(m.requests, m.refusals, m.retries, m.attempts, m.spills, m.latency)
+	registry.MustRegister(m.requests, m.refusals, m.retries, m.attempts, m.spills, m.panics, m.latency)
 	return m
 }
 
--- a/snipeforward/once.go
+++ b/snipeforward/once.go
@@ -3,15 +3,15 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/snipemoor/snipemoor/snipeonce"
 	"github.com/snipemoor/snipemoor/snipepeer"
 )
 
-// serveOnce takes a request of class once to its end. hops counts the instances
-// that have passed the request on.
-func (f *Forwarder) serveOnce(ctx context.Context, q *request, s sink, hops int) {
+// serveOnce takes a request of class once to its end.
+func (f *Forwarder) serveOnce(ctx context.Context, q *request, s sink) {
 	d, joined, leave := f.deps.Records.Begin(q.id, q.deadline)
 	switch d.Kind {
 	case snipeonce.Start:
@@ -21,7 +21,7 @@
 	case snipeonce.Stored, snipeonce.Refuse:
 		replay(s, d.Result)
 	case snipeonce.RelayTo:
-		if hops > maxHops {
+		if len(q.passedBy) > maxHops {
 			s.Refuse(unknown(reasonIssuerUnreachable))
 			return
 		}
@@ -104,6 +104,7 @@
 	defer cancel()
 	m := f.relayRequest(q)
 	m.Join = true
+	m.Excluded = append(slices.Clone(q.passedBy), f.deps.Incarnation)
 	stream, err := f.deps.Relays.Open(ctx, peer, m)
 	if err != nil {
 		s.Refuse(unknown(reasonIssuerUnreachable))
@@ -111,8 +112,9 @@
 	}
 	defer stream.Close()
 	region := f.deps.Config.RegionOf(stream.Peer().Place)
+	body := q.body.reader()
 	go func() {
-		if f.sendBody(ctx, q.body, stream, region) != nil {
+		if f.sendBody(ctx, body, stream, region) != nil {
 			stream.Close()
 		}
 	}()
@@ -125,12 +127,14 @@
 			outcome: r.GetOutcome(), reason: r.GetReason(), detail: r.GetDetail(),
 			retryAfter: time.Duration(r.GetRetryAfterMillis()) * time.Millisecond,
 		})
+	case err != nil && q.body.fault() != "":
+		s.Refuse(unknown(q.body.fault()))
 	case err != nil:
 		s.Refuse(unknown(reasonIssuerUnreachable))
 	default:
 		f.deliver(q, s, &answer{
 			status: int(a.GetStatus()), header: headerFromWire(a.GetHeaders()), length: a.GetContentLength(),
-			body: &chunkReader{read: stream.ReadChunk}, finish: func(bool) {},
+			body: &chunkReader{read: stream.ReadChunk}, finish: func(ending) {},
 		})
 	}
 }
--- a/snipeforward/reasons.go
+++ b/snipeforward/reasons.go
@@ -14,6 +14,8 @@
 	reasonHeaderTooLarge    = "headerTooLarge"
 	reasonBodyTooLarge      = "bodyTooLarge"
 	reasonBodyCut           = "bodyCut"
+	reasonBadPath           = "badPath"
+	reasonNoConnection      = "noConnection"
 	reasonStopping          = "stopping"
 	reasonNoTarget          = "noTarget"
 	reasonNoSlot            = "noSlot"
@@ -29,7 +31,7 @@
 	switch reason {
 	case reasonUnknownTeam, reasonUnknownService:
 		return http.StatusNotFound
-	case reasonBadRequestID, reasonBadTimeout, reasonBadLookup, reasonBodyCut:
+	case reasonBadRequestID, reasonBadTimeout, reasonBadLookup, reasonBodyCut, reasonBadPath:
 		return http.StatusBadRequest
 	case reasonHeaderTooLarge:
 		return http.StatusRequestHeaderFieldsTooLarge
--- a/snipeforward/relayserver.go
+++ b/snipeforward/relayserver.go
@@ -3,12 +3,13 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"net/netip"
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/snipemoor/snipemoor/snipeonce"
 	"github.com/snipemoor/snipemoor/snipepeer"
 	"github.com/snipemoor/snipemoor/sniperetry"
@@ -21,6 +22,9 @@
 func (f *Forwarder) ServeRelay(ctx context.Context, stream *snipepeer.RelayStream) {
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
+	// Like net/http does for callers, a panic ends only its request. The sender
+	// sees a response without its end mark.
+	defer f.recoverRelay()
 	m := stream.Request()
 	s := &relaySink{
 		f: f, ctx: ctx, stream: stream, method: m.GetMethod(),
@@ -32,12 +36,20 @@
 		return
 	}
 	if m.GetJoin() {
-		f.serveOnce(ctx, q, s, 1)
+		q.passedBy = m.GetExcluded()
+		f.serveOnce(ctx, q, s)
 		return
 	}
 	f.serveAttempt(ctx, q, m, stream.Peer(), s)
 }
 
+func (f *Forwarder) recoverRelay() {
+	if v := recover(); v != nil {
+		f.metrics.panics.Inc()
+		f.log.Error("relayed request panicked", zap.Any("panic", v), zap.Stack("stack"))
+	}
+}
+
 // acceptRelay rebuilds the request that was relayed.
 func (f *Forwarder) acceptRelay(m *snipewire.RelayRequest, stream *snipepeer.RelayStream) (*request, *end) {
 	id, err := snipeonce.ParseRequestID(m.GetRequestId())
@@ -78,7 +90,7 @@
 		}
 		return q, nil
 	}
-	q.body = &body{length: length, rest: io.LimitReader(source, service.MaxBody+1)}
+	q.body = &body{length: length, rest: &limitedBody{src: source, left: service.MaxBody}}
 	if length == 0 {
 		q.body = &body{whole: true}
 	}
@@ -87,6 +99,10 @@
 
 // serveAttempt makes exactly one attempt for another instance.
 func (f *Forwarder) serveAttempt(ctx context.Context, q *request, m *snipewire.RelayRequest, from snipepeer.Peer, s *relaySink) {
+	if f.stopping.Load() {
+		s.Refuse(end{outcome: outcomeNotRun, reason: reasonStopping, retryAfter: time.Second})
+		return
+	}
 	attemptID, err := snipeonce.ParseAttemptID(m.GetAttemptId())
 	if err != nil || f.deps.Records.Admit(attemptID, m, from) != snipeonce.Admitted {
 		// The attempt was not started by this message, but one with the same
--- a/snipeforward/remote.go
+++ b/snipeforward/remote.go
@@ -55,16 +55,16 @@
 		stream.Close()
 		cancel()
 		finished(failed.kind == sniperetry.NoSlot || failed.kind == sniperetry.TargetShed)
-		settle(0)
+		settle(chargedBits(q, failed))
 		return nil, failed
 	}
 	counted := &countingReader{r: a.body}
 	a.body = counted
-	a.finish = func(complete bool) {
+	a.finish = func(how ending) {
 		stream.Close()
 		cancel()
-		finished(complete)
-		settle(sent + float64(counted.n)*bitsPerByte)
+		finished(how != endedByTarget)
+		settle(sentBits(q) + float64(counted.n)*bitsPerByte)
 	}
 	return a, nil
 }
@@ -82,8 +82,11 @@
 
 // relayed sends the body and waits for the start of the response.
 func (f *Forwarder) relayed(ctx context.Context, q *request, stream RelayStream, region, attemptID string) (*answer, *failure) {
+	// The reader is taken before the goroutine runs, so that it cannot take the
+	// body away from a later attempt.
+	body := q.body.reader()
 	go func() {
-		if err := f.sendBody(ctx, q.body, stream, region); err != nil {
+		if err := f.sendBody(ctx, body, stream, region); err != nil {
 			// The peer must not wait for the rest of the body.
 			stream.Close()
 		}
@@ -108,6 +111,7 @@
 		kind: sniperetry.NoSlot, reason: r.GetReason(), target: r.GetTarget(),
 		end: end{retryAfter: time.Duration(r.GetRetryAfterMillis()) * time.Millisecond, detail: r.GetDetail()},
 	}
+	failed.final = r.GetReason() == reasonBadPath
 	switch {
 	case r.GetOutcome() != outcomeNotRun:
 		failed.kind = sniperetry.RelayLost
@@ -123,6 +127,13 @@
 // response. For class once the answer decides whether the request can have run.
 func (f *Forwarder) lost(ctx context.Context, q *request, peer snipepeer.Peer, attemptID string, cause error) (*answer, *failure) {
 	failed := &failure{kind: sniperetry.RelayLost, reason: reasonRelayFailed, end: end{detail: cause.Error()}}
+	if fault := q.body.fault(); fault != "" {
+		failed.reason, failed.final = fault, true
+	}
+	if ctx.Err() != nil && q.class != sniperetry.Once {
+		// Nobody waits for the response, and a repetition does no harm.
+		return nil, failed
+	}
 	askCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), min(revokeTimeout, max(f.left(q), 0)))
 	defer cancel()
 	status := f.deps.Relays.Revoke(askCtx, peer, attemptID)
@@ -150,13 +161,13 @@
 	}
 	return &answer{
 		status: int(kept.Status), header: headerFromRecord(kept.Headers), length: int64(len(kept.Body)),
-		body: &chunkReader{read: read}, finish: func(bool) {},
+		body: &chunkReader{read: read},
 	}
 }
 
 // sendBody sends the request body in paced chunks, with an end mark.
-func (f *Forwarder) sendBody(ctx context.Context, b *body, stream RelayStream, region string) error {
-	if r := b.reader(); r != nil {
+func (f *Forwarder) sendBody(ctx context.Context, r io.ReadCloser, stream RelayStream, region string) error {
+	if r != nil {
 		defer func() { _ = r.Close() }()
 		chunk := make([]byte, snipepeer.MaxChunk)
 		for {
--- a/snipeforward/request.go
+++ b/snipeforward/request.go
@@ -28,6 +28,8 @@
 	deadline snipetime.Instant
 	// excluded holds targets that failed an attempt of this request.
 	excluded []string
+	// passedBy names the instances that passed a request of class once on.
+	passedBy []string
 	// running is the target of the latest attempt, for a hedge to avoid.
 	running *atomic.Pointer[string]
 }
@@ -38,6 +40,12 @@
 	reason string
 	end    end
 	target string
+	// final is set if another attempt would fail in the same way.
+	final bool
+	// began is set if an attempt beside this one can have begun.
+	began bool
+	// beside is the target of that attempt.
+	beside string
 }
 
 func (q *request) exclude(target string) {
--- a/snipeforward/run.go
+++ b/snipeforward/run.go
@@ -20,10 +20,22 @@
 	length int64
 	body   io.Reader
 	target string
-	// finish ends the attempt; complete tells that the body was read whole.
-	finish func(complete bool)
+	// finish ends the attempt. It must be called once.
+	finish func(how ending)
 }
 
+// ending is how the body of a response ended.
+type ending int
+
+const (
+	// endedWhole is a body that was read to its end.
+	endedWhole ending = iota
+	// endedByTarget is a body that was cut short by its source.
+	endedByTarget
+	// endedHere is a body that was given up by this side.
+	endedHere
+)
+
 // attemptState is the progress of one request through its attempts.
 type attemptState struct {
 	count  int
@@ -50,7 +62,8 @@
 			continue
 		}
 		q.exclude(failed.target)
-		state.began = state.began || failed.kind.Begun()
+		q.exclude(failed.beside)
+		state.began = state.began || failed.began || failed.kind.Begun()
 		if !f.again(ctx, q, policy, state, failed, s) {
 			return
 		}
@@ -60,6 +73,10 @@
 // again asks the policy what follows a failed attempt and waits for the next
 // one. It answers the caller and returns false if there is none.
 func (f *Forwarder) again(ctx context.Context, q *request, policy Policy, state *attemptState, failed *failure, s sink) bool {
+	if failed.final {
+		s.Refuse(f.giveUp(ctx, sniperetry.Decision{}, state, failed))
+		return false
+	}
 	d := policy.Decide(f.deps.Clock.Now(), f.event(q, state, failed))
 	if d.Action != sniperetry.Retry {
 		s.Refuse(f.giveUp(ctx, d, state, failed))
@@ -89,7 +106,7 @@
 	if d.Reason == sniperetry.ReasonRetryBudget || d.Reason == sniperetry.ReasonDeadline {
 		e.detail = "no further attempt: " + string(d.Reason)
 	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) && !failed.final {
 		e.reason = reasonDeadline
 	}
 	e.outcome = outcomeNotRun
@@ -110,12 +127,13 @@
 	if d.Action != sniperetry.Retry {
 		return false
 	}
-	a.finish(false)
-	q.exclude(a.target)
-	state.began = true
 	if !f.pause(ctx, d.Delay) {
 		policy.Refund()
+		return false
 	}
+	a.finish(endedHere)
+	q.exclude(a.target)
+	state.began = true
 	f.countRetry(q, d.Reason)
 	return true
 }
@@ -141,40 +159,46 @@
 
 // deliver passes a response on and reports whether it was whole.
 func (f *Forwarder) deliver(q *request, s sink, a *answer) bool {
+	how, ended := endedHere, false
+	finish := func() {
+		if !ended {
+			ended = true
+			a.finish(how)
+		}
+	}
+	// A panic of the sink must end the attempt too.
+	defer finish()
 	if err := s.Begin(a.status, answerHeader(a.header), a.length); err != nil {
-		a.finish(false)
 		s.Abort()
 		return false
 	}
-	if q.method != http.MethodHead {
-		if err := copyBody(s, a.body); err != nil {
-			a.finish(false)
-			s.Abort()
-			return false
-		}
+	if q.method == http.MethodHead {
+		how = endedWhole
+	} else {
+		how = copyBody(s, a.body)
 	}
-	a.finish(true)
-	if err := s.Complete(); err != nil {
+	finish()
+	if how != endedWhole || s.Complete() != nil {
 		s.Abort()
 		return false
 	}
 	return true
 }
 
-func copyBody(s sink, from io.Reader) error {
+func copyBody(s sink, from io.Reader) ending {
 	buffer := make([]byte, copyBuffer)
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
 			if _, writeErr := s.Write(buffer[:n]); writeErr != nil {
-				return writeErr //nolint:wrapcheck // the caller drops it
+				return endedHere
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return nil
+			return endedWhole
 		}
 		if err != nil {
-			return err //nolint:wrapcheck // the caller drops it
+			return endedByTarget
 		}
 	}
 }
--- a/snipeforward/sink.go
+++ b/snipeforward/sink.go
@@ -60,6 +60,10 @@
 	if length >= 0 && status != http.StatusNoContent && status != http.StatusNotModified {
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
+	if _, ok := h["Content-Type"]; !ok {
+		// A nil value keeps net/http from guessing a type.
+		h["Content-Type"] = nil
+	}
 	h.Set(headerOutcome, outcomeDone)
 	s.w.WriteHeader(status)
 	return nil
--- /dev/null
+++ b/snipeforward/support_test.go
@@ -0,0 +1,376 @@
+package snipeforward
+
+import (
+	"context"
+	"io"
+	"log"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/snipemoor/snipemoor/snipeonce"
+	"github.com/snipemoor/snipemoor/snipepeer"
+	"github.com/snipemoor/snipemoor/sniperetry"
+	"github.com/snipemoor/snipemoor/snipetarget"
+	"github.com/snipemoor/snipemoor/snipetime"
+	"github.com/snipemoor/snipemoor/snipewire"
+)
+
+const testLimit = 10 * time.Second
+
+// instance is an entry instance with real connections, records and retry
+// policy; configuration, plan, limits and slots are fakes. The service is named
+// after its class.
+type instance struct {
+	name, region string
+	service      Service
+	plan         []Place
+	targets      []string
+	hedge        time.Duration
+	panicAt      string
+	emptyIsFull  bool
+	refuseHedge  func()
+	drained      bool
+	// answers names the instance that decides about identifiers of others.
+	answers string
+	fleet   map[string]*instance
+	claims  *sync.Map
+
+	peer    string
+	clock   *snipetime.Service
+	node    *snipepeer.Node
+	forward *Forwarder
+	server  *httptest.Server
+	client  *http.Client
+	table   *snipeonce.Table
+	foreign *snipeonce.ForeignAttempts
+	minter  *snipeonce.Minter
+
+	mu      sync.Mutex
+	changed *sync.Cond
+	held    map[string]bool
+	results []AttemptResult
+	charged float64
+	next    uint64
+	joins   int
+	waiters map[snipeonce.Waiter]chan snipeonce.Result
+	policy  *sniperetry.Policy
+}
+
+var (
+	localPlan = []Place{{Name: "r1", Region: "r1"}}
+	relayPlan = []Place{{Name: "r2", Region: "r2", NeedsShift: true, NeedsLink: true}}
+)
+
+// newFleet starts the instances "a" in region r1 and "b" in r2, both with the
+// given targets; requests to "a" follow the plan.
+func newFleet(t testing.TB, plan []Place, targets ...string) (a, b *instance) {
+	t.Helper()
+	fleet, claims := make(map[string]*instance), new(sync.Map)
+	for name, region := range map[string]string{"a": "r1", "b": "r2"} {
+		i := &instance{
+			name: name, region: region, plan: plan, targets: targets, fleet: fleet, claims: claims,
+			service: Service{
+				Team: "t", DefaultTimeout: testLimit, MaxTimeout: testLimit, MaxBody: 1 << 20, MaxHeader: 8 << 10,
+				RequestBytes: 1000, AnswerBytes: 1000,
+			},
+			held: make(map[string]bool), waiters: make(map[snipeonce.Waiter]chan snipeonce.Result),
+		}
+		i.changed = sync.NewCond(&i.mu)
+		i.start(t)
+		fleet[name] = i
+	}
+	return fleet["a"], fleet["b"]
+}
+
+func (i *instance) start(t testing.TB) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	i.peer = listener.Addr().String()
+	i.clock = snipetime.New()
+	i.node = snipepeer.New(snipepeer.Settings{
+		Address: i.peer, Incarnation: i.name, Place: i.region,
+	}, listener, &net.Dialer{}, zap.NewNop())
+	i.table = snipeonce.NewTable(i.name, snipeonce.Settings{})
+	i.foreign = snipeonce.NewForeignAttempts(i.name)
+	i.minter = snipeonce.NewMinter(i.name)
+	i.policy = sniperetry.NewPolicy(sniperetry.Settings{
+		Budget: sniperetry.BudgetSettings{Ratio: 10, MinimumPerSecond: 1000, Cap: 1000},
+	}, rand.New(rand.NewPCG(1, 2)), i.clock.Now())
+	pools := snipetarget.New(snipetarget.Settings{}, &net.Dialer{})
+	i.forward = New(Dependencies{
+		Clock: i.clock, Config: i, Planner: i, Limits: i, Slots: i, Targets: pools, Relays: i, Records: recordFake{i},
+		Policies: i, Lookups: i, Incarnation: i.name, Region: func() string { return i.region },
+	}, prometheus.NewRegistry())
+	i.node.HandleRelay(i.forward.ServeRelay)
+	i.node.Start()
+	i.server = httptest.NewUnstartedServer(nil)
+	i.server.Config = i.forward.Server(func() bool { return true })
+	i.server.Start()
+	i.client = &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 100}}
+	t.Cleanup(func() {
+		i.client.CloseIdleConnections()
+		i.server.Close()
+		i.node.Close()
+		pools.Close()
+		i.clock.Close()
+	})
+}
+
+// send sends a request to the service of a class.
+func (i *instance) send(ctx context.Context, method, path string, body io.Reader, headers ...string) (*http.Response, error) {
+	r, err := http.NewRequestWithContext(ctx, method, i.server.URL+"/call/t/"+path, body)
+	if err != nil {
+		return nil, err
+	}
+	for n := 0; n < len(headers); n += 2 {
+		r.Header.Add(headers[n], headers[n+1])
+	}
+	return i.client.Do(r)
+}
+
+// await waits until a condition holds, which is checked after each change of a
+// slot, and fails the test after a time limit.
+func (i *instance) await(t testing.TB, what string, done func() bool) {
+	t.Helper()
+	late := false
+	stop := time.AfterFunc(testLimit, func() {
+		i.mu.Lock()
+		defer i.mu.Unlock()
+		late = true
+		i.changed.Broadcast()
+	})
+	defer stop.Stop()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for !done() {
+		if late {
+			t.Fatalf("instance %s: no %s; held %v, results %v", i.name, what, i.held, i.results)
+		}
+		i.changed.Wait()
+	}
+}
+
+// idle waits until every slot is released and returns the results.
+func (i *instance) idle(t testing.TB) []AttemptResult {
+	t.Helper()
+	i.await(t, "release of all slots", func() bool { return len(i.held) == 0 })
+	return slices.Clone(i.results)
+}
+
+func (i *instance) Generation() uint64 { return 7 }
+
+func (i *instance) Service(team, name string) (Service, *Refusal) {
+	if team != "t" {
+		return Service{}, &Refusal{Reason: reasonUnknownTeam}
+	}
+	s := i.service
+	s.Name, s.Class = name, sniperetry.Class(name)
+	if s.Class != sniperetry.Safe && s.Class != sniperetry.Idempotent && s.Class != sniperetry.Once {
+		return Service{}, &Refusal{Reason: reasonUnknownService}
+	}
+	return s, nil
+}
+
+func (i *instance) RegionOf(place string) string { return place }
+
+func (i *instance) Home(string, string, netip.Addr) string { return i.region }
+
+func (i *instance) Plan(_ Service, _ string, buffer []Place) []Place {
+	return append(buffer, i.plan...)
+}
+
+func (i *instance) AdmitShift(_ Service, bits float64) *Refusal {
+	if i.panicAt == "shift" {
+		panic("injected")
+	}
+	i.CorrectShift(Service{}, bits)
+	return nil
+}
+
+func (i *instance) CorrectShift(_ Service, bits float64) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.charged += bits
+}
+
+func (i *instance) AdmitLink(string, float64) *Refusal { return nil }
+
+func (i *instance) PaceLink(ctx context.Context, _ string, _ float64) error { return ctx.Err() }
+
+func (i *instance) Acquire(ctx context.Context, r SlotRequest) (string, *Refusal) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if ctx.Err() != nil || i.drained {
+		return "", &Refusal{Reason: reasonNoTarget}
+	}
+	if r.Hedge && i.refuseHedge != nil {
+		for len(i.held) == 0 {
+			i.changed.Wait()
+		}
+		i.refuseHedge()
+		i.drained = true
+		return "", &Refusal{Reason: reasonNoTarget}
+	}
+	for range i.targets {
+		i.next++
+		target := i.targets[i.next%uint64(len(i.targets))]
+		if target == "" && i.emptyIsFull {
+			break
+		}
+		if !slices.Contains(r.Excluded, target) {
+			i.held[r.AttemptID] = true
+			i.changed.Broadcast()
+			return target, nil
+		}
+	}
+	return "", &Refusal{Reason: reasonNoTarget}
+}
+
+func (i *instance) Release(attemptID string, result AttemptResult, _ time.Duration) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	delete(i.held, attemptID)
+	i.results = append(i.results, result)
+	i.changed.Broadcast()
+}
+
+func (i *instance) Choose(region, _ string) (string, bool) {
+	for _, other := range i.fleet {
+		if other.region == region {
+			return other.peer, true
+		}
+	}
+	return "", false
+}
+
+func (i *instance) Finished(string, bool, time.Duration) {}
+
+func (i *instance) Open(ctx context.Context, peer string, q *snipewire.RelayRequest) (RelayStream, error) {
+	i.mu.Lock()
+	if q.GetJoin() {
+		i.joins++
+	}
+	i.mu.Unlock()
+	s, err := i.node.OpenRelay(ctx, peer, q)
+	if err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (i *instance) Revoke(_ context.Context, to snipepeer.Peer, attemptID string) snipeonce.Status {
+	id, err := snipeonce.ParseAttemptID(attemptID)
+	if err != nil {
+		return snipeonce.Status{}
+	}
+	return i.fleet[to.Incarnation].foreign.Revoke(id, to.Incarnation, to.Epoch, i.clock.Now())
+}
+
+func (i *instance) NextAttempt() snipeonce.AttemptID {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.next++
+	return snipeonce.AttemptID{Sender: i.name, N: i.next}
+}
+
+func (i *instance) Policy(Service) Policy { return policyFake{i} }
+
+func (i *instance) Entries(string, string, netip.Prefix) (LookupAnswer, *Refusal) {
+	return LookupAnswer{Entries: []Entry{{Address: "127.0.0.1:80", Place: "r1"}}, TimeToLive: time.Second}, nil
+}
+
+// policyFake is the real policy with a given hedge delay.
+type policyFake struct{ i *instance }
+
+func (p policyFake) FirstAttempt(now snipetime.Instant) {
+	p.i.mu.Lock()
+	defer p.i.mu.Unlock()
+	p.i.policy.FirstAttempt(now)
+}
+
+func (p policyFake) Observe(snipetime.Instant, time.Duration) {}
+
+func (p policyFake) HedgeDelay(class sniperetry.Class) (time.Duration, bool) {
+	return p.i.hedge, class == sniperetry.Safe && p.i.hedge > 0
+}
+
+func (p policyFake) Decide(now snipetime.Instant, e sniperetry.Event) sniperetry.Decision {
+	if e.Failure == sniperetry.Running {
+		return sniperetry.Decision{Action: sniperetry.Hedge, Reason: sniperetry.ReasonHedge}
+	}
+	p.i.mu.Lock()
+	defer p.i.mu.Unlock()
+	return p.i.policy.Decide(now, e)
+}
+
+func (p policyFake) Refund() {}
+
+// recordFake connects the real record tables.
+type recordFake struct{ *instance }
+
+func (r recordFake) Issue() snipeonce.RequestID { return r.minter.Issue(r.clock.Now()) }
+
+func (r recordFake) Begin(id snipeonce.RequestID, deadline snipetime.Instant) (snipeonce.Decision, <-chan snipeonce.Result, func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.next++
+	w, ch := snipeonce.Waiter(r.next), make(chan snipeonce.Result, 1)
+	d := r.table.Begin(id, r.clock.Now(), deadline, w)
+	if d.Kind == snipeonce.Join {
+		r.waiters[w] = ch
+	}
+	return d, ch, func() { r.table.Leave(id, w) }
+}
+
+func (r recordFake) Finish(id snipeonce.RequestID, result snipeonce.Result) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, w := range r.table.Finish(id, result, r.clock.Now()) {
+		r.waiters[w] <- result
+		delete(r.waiters, w)
+	}
+	r.changed.Broadcast()
+}
+
+func (r recordFake) Revoke(id snipeonce.RequestID) snipeonce.Status {
+	return r.table.Revoke(id, r.clock.Now())
+}
+
+func (r recordFake) Claim(_ context.Context, _, _, key string, id snipeonce.RequestID) (snipeonce.RequestID, bool, *snipeonce.Result) {
+	other, claimed := r.claims.LoadOrStore(key, id)
+	return other.(snipeonce.RequestID), claimed && other != id, nil
+}
+
+func (r recordFake) Peer(incarnation string) (string, bool) {
+	if r.answers != "" {
+		incarnation = r.answers
+	}
+	other, ok := r.fleet[incarnation]
+	if !ok {
+		return "", false
+	}
+	return other.peer, true
+}
+
+func (r recordFake) Admit(id snipeonce.AttemptID, q *snipewire.RelayRequest, _ snipepeer.Peer) snipeonce.Admission {
+	return r.foreign.Admit(id, q.GetIncarnation(), q.GetSessionEpoch(), r.clock.Now())
+}
+
+func (r recordFake) Finished(id snipeonce.AttemptID, result snipeonce.Result) {
+	r.foreign.Finish(id, result, r.clock.Now())
+}
+
+func discardLog() *log.Logger { return log.New(io.Discard, "", 0) }
--- a/snipepeer/relay.go
+++ b/snipepeer/relay.go
@@ -62,6 +62,10 @@
 	c.stop = context.AfterFunc(ctx, func() { abort(stream) })
 	if err := writeMessage(stream, MaxFrame, &snipewire.Frame{Body: &snipewire.Frame_Request{Request: req}}); err != nil {
 		c.Close()
+		var inv *InvalidFrameError
+		if errors.As(err, &inv) {
+			err = fmt.Errorf("%w: %w", ErrNoSession, err)
+		}
 		return nil, fmt.Errorf("relay to %s: %w", peer, err)
 	}
 	return c, nil
