--- a/snipestandin/store.go
+++ b/snipestandin/store.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/snipemoor/snipemoor/snipetime"
@@ -82,6 +83,9 @@
 	clock  Clock
 	server *server
 
+	// hook is called at the start of each call; see SetHook.
+	hook atomic.Pointer[func(kind CallKind, path string)]
+
 	mu     sync.Mutex
 	data   storeData
 	old    *storeData
@@ -168,6 +172,18 @@
 	s.wake()
 }
 
+// SetHook sets a function that is called with the kind and the URL path of each
+// call before faults apply and before the call takes effect. The call waits
+// until the function returns, and the function may set faults that apply to the
+// call. Nil removes the function.
+func (s *Store) SetHook(hook func(kind CallKind, path string)) {
+	if hook == nil {
+		s.hook.Store(nil)
+		return
+	}
+	s.hook.Store(&hook)
+}
+
 // Faults returns the faults that are set, with the remaining counts.
 func (s *Store) Faults() StoreFaults {
 	s.mu.Lock()
--- a/snipestandin/storehttp.go
+++ b/snipestandin/storehttp.go
@@ -70,6 +70,9 @@
 
 // admit counts a call and applies the faults that keep it from taking effect.
 func (s *Store) admit(w http.ResponseWriter, r *http.Request, kind CallKind) bool {
+	if hook := s.hook.Load(); hook != nil {
+		(*hook)(kind, r.URL.Path)
+	}
 	s.mu.Lock()
 	s.calls[kind]++
 	faults := s.faults
--- a/snipestandin/target.go
+++ b/snipestandin/target.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/snipemoor/snipemoor/snipetime"
@@ -132,6 +133,9 @@
 	started  snipetime.Instant
 	closed   chan struct{}
 
+	// hook is called at each stage of a request; see SetHook.
+	hook atomic.Pointer[func(Stage)]
+
 	mu         sync.Mutex
 	faults     TargetFaults
 	random     *rand.Rand
@@ -218,6 +222,18 @@
 	t.faults = f
 }
 
+// SetHook sets a function that is called when a request reaches a stage, before
+// the faults of the stage apply. The request waits until the function returns,
+// so that a test can hold it there. Probes reach StageBeforeRead too. Nil removes
+// the function.
+func (t *Target) SetHook(hook func(Stage)) {
+	if hook == nil {
+		t.hook.Store(nil)
+		return
+	}
+	t.hook.Store(&hook)
+}
+
 // Faults returns the faults that are set, with the remaining count.
 func (t *Target) Faults() TargetFaults {
 	t.mu.Lock()
@@ -267,6 +283,9 @@
 // fails reports whether the current request fails at the stage, and uses up
 // one of the failing requests.
 func (t *Target) fails(stage Stage) (fails, silent bool) {
+	if hook := t.hook.Load(); hook != nil {
+		(*hook)(stage)
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.faults.Stage != stage || t.faults.Requests == 0 {
