--- a/snipescenario/faults_test.go
+++ b/snipescenario/faults_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -172,3 +174,90 @@
 	}
 	return w.commit(context.Background())
 }
+
+// setCap changes the shift cap of a service in the team document. The checks use
+// the highest cap that was in force.
+func (w *world) setCap(service string, limit int) ([]*snipeconfig.Document, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	before, ok := w.caps[service]
+	w.caps[service] = limit
+	err := w.setTeam()
+	delete(w.caps, service)
+	if ok {
+		w.caps[service] = before
+	}
+	return w.documentList(), err
+}
+
+// teamWithCap returns the documents with another cap and leaves those of the
+// world as they are.
+func (w *world) teamWithCap(service string, limit int) ([]*snipeconfig.Document, error) {
+	w.mu.Lock()
+	kept := maps.Clone(w.documents)
+	w.mu.Unlock()
+	documents, err := w.setCap(service, limit)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.documents = kept
+	return documents, err
+}
+
+// sync takes documents and generation from the store.
+func (w *world) sync(ctx context.Context) error {
+	base, err := snipestore.NewReader(w.store).Load(ctx, nil)
+	if err != nil {
+		return fmt.Errorf("load configuration: %w", err)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.base = base
+	w.documents = map[snipeconfig.Ref]*snipeconfig.Document{}
+	for _, d := range base.Documents() {
+		w.documents[d.Ref()] = d
+	}
+	return nil
+}
+
+// markLeavingAgain moves the start of a drain to now.
+func (w *world) markLeavingAgain(address string) {
+	w.mu.Lock()
+	w.leaving = slices.DeleteFunc(w.leaving, func(d drained) bool { return d.address == address })
+	w.mu.Unlock()
+	w.markLeaving(address, 0)
+}
+
+func (w *world) sentSoFar() []*outcome {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.sent)
+}
+
+// watchGenerations checks all the time that no instance reverts to a lower
+// generation. The returned function ends the watch.
+func (w *world) watchGenerations(c *cell) func() {
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	for _, in := range w.instances {
+		wg.Go(func() {
+			seen := map[string]uint64{}
+			for {
+				if s, err := in.status(); err == nil {
+					if s.Generation < seen[s.Incarnation] {
+						c.fail(8, "%s went from generation %d to %d", in.name, seen[s.Incarnation], s.Generation)
+					}
+					seen[s.Incarnation] = s.Generation
+				}
+				select {
+				case <-stop:
+					return
+				case <-time.After(5 * poll):
+				}
+			}
+		})
+	}
+	return func() {
+		close(stop)
+		wg.Wait()
+	}
+}
--- /dev/null
+++ b/snipescenario/matrix_test.go
@@ -0,0 +1,349 @@
+package snipescenario_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/snipemoor/snipemoor/snipestandin"
+)
+
+var (
+	matrixSeeds = flag.String("matrix.seeds", "1-1", "range of seeds of the fault matrix")
+	matrixCells = flag.String("matrix.cells", "", "run only the cells whose name contains this text, without the golden table")
+)
+
+const (
+	// matrixParallel bounds the worlds that run at once.
+	matrixParallel = 6
+	// cellLimit bounds one cell.
+	cellLimit = 90 * time.Second
+)
+
+// flow is a kind of work with the steps at which faults are injected.
+type flow struct {
+	name  string
+	steps []string
+	// victim is the index of the instance that faults of one process hit.
+	victim int
+	// guarantees are those that every cell of the flow checks.
+	guarantees []int
+	run        func(c *cell) error
+	// pairStep is the step at which pairs of faults are injected.
+	pairStep string
+}
+
+// cell is one run of a flow with faults at a step.
+type cell struct {
+	ctx           context.Context
+	flow          flow
+	step          string
+	faults        []fault
+	seed          uint64
+	w             *world
+	victim, other *instance
+	storeFaults   snipestandin.StoreFaults
+
+	mu       sync.Mutex
+	problems []string
+	failed   map[int]bool
+	injected bool
+}
+
+func (c *cell) name() string {
+	var names []string
+	for _, f := range c.faults {
+		names = append(names, f.name)
+	}
+	return c.flow.name + "/" + c.step + "/" + strings.Join(names, "+")
+}
+
+// fail notes a violation; guarantee 0 stands for a scenario that cannot go on.
+func (c *cell) fail(guarantee int, format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failed[guarantee] = true
+	c.problems = append(c.problems, fmt.Sprintf("guarantee %d: ", guarantee)+fmt.Sprintf(format, args...))
+}
+
+// exclusion returns why a cell does not apply, or empty text.
+func exclusion(a, b string) string {
+	switch {
+	case a == faultStoreDown && b == faultAnswerLost:
+		return "no write takes effect during an outage"
+	case a == b:
+		return "same fault"
+	default:
+		return ""
+	}
+}
+
+// cells returns all cells: each fault at each step, and pairs at the pair step.
+func cells(seed uint64) []*cell {
+	var all []*cell
+	faults := matrixFaults()
+	for _, f := range matrixFlows() {
+		for _, step := range f.steps {
+			for _, x := range faults {
+				all = append(all, &cell{flow: f, step: step, faults: []fault{x}, seed: seed, failed: map[int]bool{}})
+			}
+		}
+		if f.pairStep == "" {
+			continue
+		}
+		for i, x := range faults {
+			for _, y := range faults[i+1:] {
+				if exclusion(x.name, y.name) == "" {
+					all = append(all, &cell{flow: f, step: f.pairStep, faults: []fault{x, y}, seed: seed, failed: map[int]bool{}})
+				}
+			}
+		}
+	}
+	return all
+}
+
+// Guards the guarantees of section 1.2 of the design against every fault of
+// section 1.4 at every step of each flow, and against pairs of faults. The golden
+// table is docs/fault-matrix.md; each entry names the guarantees that its cell
+// checks, or those that it violates.
+func TestFaultMatrix(t *testing.T) {
+	if testing.Short() {
+		t.Skip("the matrix takes minutes")
+	}
+	from, to := seedRange(t)
+	results := map[string]string{}
+	for seed := from; seed <= to; seed++ {
+		t.Logf("seed %d", seed)
+		all := cells(seed)
+		slots := make(chan struct{}, matrixParallel)
+		var wg sync.WaitGroup
+		for _, c := range all {
+			if !strings.Contains(c.name(), *matrixCells) {
+				continue
+			}
+			slots <- struct{}{}
+			wg.Go(func() {
+				defer func() { <-slots }()
+				c.execute(t)
+			})
+		}
+		wg.Wait()
+		for _, c := range all {
+			if r := c.result(); results[c.name()] == "" || strings.HasPrefix(r, "FAIL") {
+				results[c.name()] = r
+			}
+			if len(c.problems) > 0 {
+				t.Errorf("%s, seed %d:\n%s", c.name(), seed, strings.Join(c.problems, "\n"))
+			}
+		}
+	}
+	if *matrixCells != "" {
+		return
+	}
+	goldie.New(t, goldie.WithFixtureDir("../docs"), goldie.WithNameSuffix(".md")).
+		Assert(t, "fault-matrix", []byte(table(results)))
+}
+
+func seedRange(t *testing.T) (from, to uint64) {
+	t.Helper()
+	first, last, _ := strings.Cut(*matrixSeeds, "-")
+	from, err := strconv.ParseUint(first, 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	to, err = strconv.ParseUint(last, 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return from, to
+}
+
+// result returns the entry of the table.
+func (c *cell) result() string {
+	word, list := "ok", c.flow.guarantees
+	if len(c.failed) > 0 {
+		word, list = "FAIL", nil
+		for g := range 9 {
+			if c.failed[g] {
+				list = append(list, g)
+			}
+		}
+	}
+	return word + " " + strings.Trim(fmt.Sprint(list), "[]")
+}
+
+// execute runs the cell in a world of its own.
+func (c *cell) execute(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), cellLimit)
+	defer cancel()
+	c.ctx = ctx
+	started := time.Now()
+	w, err := newWorld(t.TempDir(), "society", c.seed)
+	if err != nil {
+		c.fail(0, "world does not start: %v", err)
+		return
+	}
+	c.w = w
+	c.victim, c.other = w.instances[c.flow.victim], w.instances[c.flow.victim^1]
+	defer func() {
+		if len(c.problems) > 0 {
+			c.problems = append(c.problems, w.logs())
+		}
+		_ = w.close()
+	}()
+	for _, in := range w.instances {
+		if err := w.start(in); err != nil {
+			c.fail(0, "instance does not start: %v", err)
+			return
+		}
+	}
+	if err := until(eventLimit, w.settled); err != nil {
+		c.fail(0, "world does not settle: %v", err)
+		return
+	}
+	watched := w.watchGenerations(c)
+	if err := c.flow.run(c); err != nil {
+		c.fail(0, "%v", err)
+	}
+	if !c.injected {
+		c.fail(0, "step %s was not reached", c.step)
+	}
+	c.recover()
+	c.finish()
+	watched()
+	t.Logf("%s: %s in %s", c.name(), c.result(), time.Since(started).Round(time.Millisecond))
+}
+
+// inject starts the faults of the cell.
+func (c *cell) inject() error {
+	c.injected = true
+	for _, f := range c.faults {
+		if err := f.inject(c); err != nil && !c.storeFails() {
+			return fmt.Errorf("%s: %w", f.name, err)
+		}
+	}
+	return nil
+}
+
+// storeFails reports whether the cell makes calls to the store fail.
+func (c *cell) storeFails() bool {
+	return c.has(faultStoreDown) || c.has(faultStoreSlow) || c.has(faultAnswerLost)
+}
+
+// heal ends the faults; a paused process must run before others can be reached.
+func (c *cell) heal() {
+	for i := range c.faults {
+		f := c.faults[len(c.faults)-1-i]
+		if err := f.heal(c); err != nil {
+			c.fail(0, "heal %s: %v", f.name, err)
+		}
+	}
+}
+
+// recover ends all faults and waits until the world has settled.
+func (c *cell) recover() {
+	c.heal()
+	c.w.standins.Store().SetHook(nil)
+	for _, h := range c.w.holds {
+		h.release()
+	}
+	for _, in := range c.w.instances {
+		if in.running() {
+			continue
+		}
+		if err := c.w.start(in); err != nil {
+			c.fail(0, "restart %s: %v", in.name, err)
+		}
+	}
+	if err := until(eventLimit, c.w.settled); err != nil {
+		c.fail(0, "world does not settle after the faults: %v", err)
+	}
+}
+
+// finish checks that the system works again and that no guarantee is violated.
+func (c *cell) finish() {
+	for _, r := range c.w.sentSoFar() {
+		select {
+		case <-r.done:
+		case <-c.ctx.Done():
+			c.fail(0, "request %s does not end", r.id)
+			return
+		}
+	}
+	if err := c.w.sync(c.ctx); err != nil {
+		c.fail(0, "read configuration: %v", err)
+		return
+	}
+	if err := c.w.commit(c.ctx); err != nil {
+		c.fail(8, "no change is accepted after the faults: %v", err)
+	} else if err := until(propagation, func() error { return c.w.inForce(c.w.base.Generation()) }); err != nil {
+		c.fail(8, "change after the faults: %v", err)
+	}
+	for _, service := range []string{"slotboard", "bookdesk"} {
+		r := c.call(order{service: service, method: "POST", from: 2, to: c.w.instances[2], bytes: 100, timeout: 4 * time.Second})
+		if r != nil && r.String() != "done" {
+			c.fail(0, "%s after the faults: %s (%v)", service, r, r.err)
+		}
+	}
+	for _, v := range c.w.violations() {
+		var guarantee int
+		_, _ = fmt.Sscanf(v, "guarantee %d:", &guarantee)
+		c.fail(guarantee, "%s", v)
+	}
+}
+
+// table returns the matrix as a page. Each entry names the guarantees that its
+// cell checks.
+func table(results map[string]string) string {
+	var b strings.Builder
+	b.WriteString("# Fault matrix\n\nWritten by TestFaultMatrix of snipescenario (-update). " +
+		"Each entry names the guarantees of section 1.2 of the design that the cell checks, or after FAIL those that it violates; " +
+		"0 stands for a scenario that does not recover.\n\n## Single faults\n\n| flow, step |")
+	faults := matrixFaults()
+	row := func(format string, args ...any) { fmt.Fprintf(&b, format, args...) }
+	for _, f := range faults {
+		row(" %s |", f.name)
+	}
+	row("\n|%s\n", strings.Repeat(" --- |", len(faults)+1))
+	for _, f := range matrixFlows() {
+		for _, step := range f.steps {
+			row("| %s, %s |", f.name, step)
+			for _, x := range faults {
+				row(" %s |", results[f.name+"/"+step+"/"+x.name])
+			}
+			row("\n")
+		}
+	}
+	for _, f := range matrixFlows() {
+		if f.pairStep == "" {
+			continue
+		}
+		row("\n## Pairs of faults: %s, %s\n\n| |", f.name, f.pairStep)
+		for _, x := range faults[1:] {
+			row(" %s |", x.name)
+		}
+		row("\n|%s\n", strings.Repeat(" --- |", len(faults)))
+		for i, x := range faults[:len(faults)-1] {
+			row("| %s |", x.name)
+			for j, y := range faults[1:] {
+				switch {
+				case j < i:
+					row(" |")
+				case exclusion(x.name, y.name) != "":
+					row(" n/a: %s |", exclusion(x.name, y.name))
+				default:
+					row(" %s |", results[f.name+"/"+f.pairStep+"/"+x.name+"+"+y.name])
+				}
+			}
+			row("\n")
+		}
+	}
+	return b.String()
+}
--- /dev/null
+++ b/snipescenario/matrixflows_test.go
@@ -0,0 +1,460 @@
+package snipescenario_test
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/snipemoor/snipemoor/snipestandin"
+	"github.com/snipemoor/snipemoor/snipestore"
+)
+
+// matrixFlows returns the flows. Except for apply and drain, they go through
+// instance 2, which is in the region without the store.
+func matrixFlows() []flow {
+	stage := func(s ...snipestandin.Stage) (steps []string) {
+		for _, x := range s {
+			steps = append(steps, string(x))
+		}
+		return steps
+	}
+	headers, executed, answering := snipestandin.StageAfterHeaders, snipestandin.StageAfterExecution, snipestandin.StageMidAnswer
+	body := snipestandin.StageMidBody
+	return []flow{
+		{name: "look-up", steps: []string{"before", "answered"}, victim: 2, guarantees: []int{1, 2, 3, 4, 8}, run: runLookup},
+		{name: "forward", steps: stage(headers, executed, answering), victim: 2, guarantees: []int{1, 2, 3, 4, 8}, run: runForward},
+		{name: "relay", steps: stage(headers, body, executed, answering), victim: 2, guarantees: []int{1, 2, 3, 4, 8}, run: runRelay},
+		{
+			name: "once", steps: append([]string{"claim"}, append(stage(headers, body, executed, answering), "recorded")...),
+			victim: 2, guarantees: []int{1, 2, 3, 4, 5, 8}, run: runOnce, pairStep: string(executed),
+		},
+		{name: "apply", steps: []string{"documents", "commit", "accepted"}, guarantees: []int{1, 2, 3, 4, 8}, run: runApply, pairStep: "commit"},
+		{name: "drain", steps: []string{"commit", "inFlight"}, guarantees: []int{1, 2, 3, 4, 5, 6, 8}, run: runDrain},
+		{name: "join", steps: []string{"register", "claim", "ready"}, victim: 2, guarantees: []int{1, 2, 3, 4, 5, 8}, run: runJoin},
+		{name: "leave", steps: []string{"announced", "handedOver"}, victim: 2, guarantees: []int{1, 2, 3, 4, 5, 7, 8}, run: runLeave},
+	}
+}
+
+// call sends a request with a new identifier and waits for its end. It returns
+// nil if no look-up is answered.
+func (c *cell) call(o order) *outcome {
+	found, err := c.w.lookup(o.to, o.service, o.from)
+	if err != nil {
+		c.fail(0, "look-up: %v", err)
+		return nil
+	}
+	o.id = found.RequestIDPrefix + ".1"
+	r := c.w.send(o)
+	<-r.done
+	return r
+}
+
+// atStage sends a request, injects the faults when it reaches a stage of a
+// target, and returns it while it goes on.
+func (c *cell) atStage(o order, stage snipestandin.Stage) (*outcome, error) {
+	found, err := c.w.lookup(o.to, o.service, o.from)
+	if err != nil {
+		return nil, err
+	}
+	o.id = found.RequestIDPrefix + ".1"
+	h := c.w.holdAt(o.service, stage)
+	r := c.w.send(o)
+	if err := h.wait(c.ctx); err != nil {
+		return nil, err
+	}
+	err = c.inject()
+	h.release()
+	return r, err
+}
+
+// untouched reports whether the faults leave a request that is in flight at the
+// victim alone, so that it must end with done.
+func (c *cell) untouched() bool {
+	return !c.has(faultDeath) && !c.has(faultPause) && !c.has(faultRegion) && !c.has(faultSilence)
+}
+
+// mustBeDone checks the outcome of a request that no fault of the cell touches.
+func (c *cell) mustBeDone(r *outcome) {
+	<-r.done
+	if c.untouched() && r.String() != "done" {
+		c.fail(0, "request in flight ended as %s (%v)", r, r.err)
+	}
+}
+
+func runLookup(c *cell) error {
+	if c.step == "before" {
+		if err := c.inject(); err != nil {
+			return err
+		}
+	} else {
+		l, err := c.w.offer("slotboard", http.MethodGet, 2, 20, 200*time.Millisecond, 0, c.seed)
+		if err != nil {
+			return err
+		}
+		<-l.done
+		if _, err := c.w.lookup(c.victim, "slotboard", 2); err != nil {
+			return err
+		}
+		if err := c.inject(); err != nil {
+			return err
+		}
+	}
+	l, err := c.w.offer("slotboard", http.MethodGet, 2, 10, time.Second, 0, c.seed)
+	if err != nil {
+		return err
+	}
+	<-l.done
+	if c.untouched() && l.report.Outcomes()["done"] != l.report.Total() {
+		c.fail(0, "%d requests, outcomes %v", l.report.Total(), l.report.Counts())
+	}
+	return nil
+}
+
+func runForward(c *cell) error {
+	r, err := c.atStage(order{
+		service: "slotboard", method: http.MethodGet, from: 2, to: c.victim, timeout: 3 * time.Second,
+	}, snipestandin.Stage(c.step))
+	if err != nil {
+		return err
+	}
+	c.mustBeDone(r)
+	return nil
+}
+
+func runRelay(c *cell) error {
+	r, err := c.atStage(order{
+		service: "soilvault", method: http.MethodPut, from: 0, to: c.victim, bytes: 30000, timeout: 4 * time.Second,
+	}, snipestandin.Stage(c.step))
+	if err != nil {
+		return err
+	}
+	if c.w.executions("soilvault", 2)+c.w.executions("soilvault", 3) > 0 && c.untouched() {
+		return errors.New("request was not relayed")
+	}
+	c.mustBeDone(r)
+	return nil
+}
+
+// runOnce makes a booking with a key, and repeats it at two other instances
+// while the faults last and once more after them.
+func runOnce(c *cell) error {
+	o := order{service: "bookdesk", method: http.MethodPost, key: "seat", from: 2, to: c.victim, bytes: 300, timeout: 4 * time.Second}
+	var first *outcome
+	var err error
+	switch c.step {
+	case "claim":
+		first, err = c.atStoreCall(snipestandin.CallPut, "once/", func() (*outcome, error) { return c.begin(&o) })
+	case "recorded":
+		if first, err = c.begin(&o); err == nil {
+			<-first.done
+			err = c.inject()
+		}
+	default:
+		first, err = c.atStage(o, snipestandin.Stage(c.step))
+	}
+	if err != nil {
+		return err
+	}
+	o.id = first.id
+	repeats := []*outcome{}
+	for _, i := range []int{3, 0} {
+		o.to = c.w.instances[i]
+		if o.to.running() && !o.to.paused {
+			repeats = append(repeats, c.w.send(o))
+		}
+	}
+	if c.step != "claim" || !c.storeFails() {
+		c.mustBeDone(first)
+	}
+	for _, r := range repeats {
+		<-r.done
+	}
+	c.recover()
+	o.to = c.w.instances[3]
+	<-c.w.send(o).done
+	return nil
+}
+
+func (c *cell) begin(o *order) (*outcome, error) {
+	found, err := c.w.lookup(o.to, o.service, o.from)
+	if err != nil {
+		return nil, err
+	}
+	o.id = found.RequestIDPrefix + ".1"
+	return c.w.send(*o), nil
+}
+
+// atStoreCall begins work and injects the faults when the first call of a kind
+// to a key under a prefix reaches the store, before it takes effect.
+func (c *cell) atStoreCall(kind snipestandin.CallKind, prefix string, begin func() (*outcome, error)) (*outcome, error) {
+	reached, proceed := make(chan struct{}), make(chan struct{})
+	var once sync.Once
+	c.w.standins.Store().SetHook(func(k snipestandin.CallKind, path string) {
+		if k != kind || !strings.HasPrefix(path, "/v1/kv/"+prefix) && kind == snipestandin.CallPut {
+			return
+		}
+		once.Do(func() {
+			close(reached)
+			<-proceed
+		})
+	})
+	defer close(proceed)
+	r, err := begin()
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case <-reached:
+	case <-c.ctx.Done():
+		return nil, fmt.Errorf("no %s of %s", kind, prefix)
+	}
+	return r, c.inject()
+}
+
+// apply commits documents as an operator does: it repeats a change that was
+// stale on the new base, and one with an error or an unclear outcome after the
+// faults. It returns the generation of the change.
+func (c *cell) apply(start func(write func())) (uint64, error) {
+	operation := snipestore.NewOperation()
+	base := c.w.base
+	done := make(chan struct{})
+	var report snipestore.Report
+	var err error
+	start(func() {
+		go func() {
+			defer close(done)
+			report, err = c.w.tryCommit(c.ctx, operation, base)
+		}()
+	})
+	<-done
+	if err == nil && report.Outcome() == snipestore.Committed {
+		return report.Generation(), nil
+	}
+	if err == nil && report.Outcome() == snipestore.Stale && len(report.Difference()) == 0 && !c.storeFails() {
+		c.fail(8, "stale change shows no difference")
+	}
+	unclear := err == nil && report.Outcome() == snipestore.Unclear
+	c.recover()
+	if unclear {
+		// A repetition of the change has the same identifier and base.
+		if report, err = c.w.tryCommit(c.ctx, operation, base); err != nil {
+			return 0, err
+		}
+		if report.Outcome() == snipestore.Committed {
+			return report.Generation(), nil
+		}
+	}
+	documents := c.w.documents
+	if err := c.w.sync(c.ctx); err != nil {
+		return 0, err
+	}
+	c.w.documents = documents
+	if err := c.w.commit(c.ctx); err != nil {
+		return 0, err
+	}
+	return c.w.base.Generation(), nil
+}
+
+func runApply(c *cell) error {
+	if _, err := c.w.setCap("slotboard", 190); err != nil {
+		return err
+	}
+	var injected error
+	generation, err := c.apply(func(write func()) {
+		prefix := map[string]string{"documents": "config/docs/", "commit": "config/head"}[c.step]
+		if prefix == "" {
+			write()
+			return
+		}
+		_, injected = c.atStoreCall(snipestandin.CallPut, prefix, func() (*outcome, error) {
+			write()
+			return nil, nil
+		})
+	})
+	if c.step == "accepted" && err == nil {
+		injected = c.inject()
+	}
+	if err := errors.Join(injected, err); err != nil {
+		return err
+	}
+	c.mustBeInForce(generation)
+	return nil
+}
+
+// mustBeInForce checks that a generation is in force within 3 s on the instances
+// that the faults leave reachable. While the store is down no instance can learn
+// of a change that none had read.
+func (c *cell) mustBeInForce(generation uint64) {
+	if c.has(faultStoreDown) {
+		return
+	}
+	var unreachable []string
+	if c.has(faultRegion) {
+		unreachable = c.w.placesOf(c.w.Places[2].Region)
+	}
+	for _, in := range c.w.instances {
+		if in.paused {
+			unreachable = append(unreachable, in.name)
+		}
+	}
+	if err := until(propagation, func() error { return c.w.inForce(generation, unreachable...) }); err != nil {
+		c.fail(8, "accepted change: %v", err)
+	}
+}
+
+// runDrain drains a target, in one step with a request in flight there.
+func runDrain(c *cell) error {
+	address := c.w.target(slices.Index(c.w.services, "droplog"), 0, 0)
+	var held *outcome
+	var h *hold
+	if c.step == "inFlight" {
+		h = c.w.holdAt("droplog", snipestandin.StageAfterExecution)
+		found, err := c.w.lookup(c.w.instances[0], "droplog", 0)
+		if err != nil {
+			return err
+		}
+		held = c.w.send(order{
+			id: found.RequestIDPrefix + ".1", service: "droplog", method: http.MethodPost, to: c.w.instances[0], timeout: 25 * time.Second,
+		})
+		if err := h.wait(c.ctx); err != nil {
+			return err
+		}
+		// The request is at one of the two targets; that one leaves.
+		if t, _ := c.w.standins.Target(address); t.Stats().Executed == 0 {
+			address = c.w.target(slices.Index(c.w.services, "droplog"), 0, 1)
+		}
+	}
+	if err := c.w.setDocument("drain.json", fmt.Appendf(nil, `{"kind":"drain","name":"leaving","target":%q}`, address)); err != nil {
+		return err
+	}
+	var injected error
+	_, err := c.apply(func(write func()) {
+		if held != nil {
+			write()
+			return
+		}
+		_, injected = c.atStoreCall(snipestandin.CallPut, "config/head", func() (*outcome, error) {
+			write()
+			return nil, nil
+		})
+	})
+	if err := errors.Join(injected, err); err != nil {
+		return err
+	}
+	c.w.markLeaving(address, 0)
+	since := time.Now()
+	if held != nil {
+		if err := c.inject(); err != nil {
+			return err
+		}
+		h.release()
+		c.mustBeDone(held)
+	}
+	if c.has(faultStoreDown) {
+		// Until the store works again nobody can learn of the drain.
+		c.recover()
+		c.w.markLeavingAgain(address)
+		since = time.Now()
+	}
+	time.Sleep(time.Until(since.Add(propagation)))
+	for i := range 8 {
+		if to := c.w.instances[i%2]; to.running() && !to.paused {
+			c.call(order{service: "droplog", method: http.MethodPost, from: 0, to: to, timeout: 3 * time.Second})
+		}
+	}
+	return nil
+}
+
+// runJoin kills an instance after a booking and starts it again.
+func runJoin(c *cell) error {
+	o := order{service: "bookdesk", method: http.MethodPost, from: 2, to: c.victim, timeout: 3 * time.Second}
+	first := c.call(o)
+	if first == nil {
+		return nil
+	}
+	if err := c.victim.kill(); err != nil {
+		return err
+	}
+	start := func() (*outcome, error) { return nil, c.w.start(c.victim) }
+	var err error
+	switch c.step {
+	case "register":
+		_, err = c.atStoreCall(snipestandin.CallLease, "", start)
+	case "claim":
+		_, err = c.atStoreCall(snipestandin.CallPut, "positions/", start)
+	default:
+		if _, err = start(); err == nil {
+			err = until(eventLimit, func() error {
+				s, err := c.victim.status()
+				if err == nil && !s.Ready {
+					err = errors.New("not ready")
+				}
+				return err
+			})
+			err = errors.Join(err, c.inject())
+		}
+	}
+	if err != nil {
+		return err
+	}
+	c.recover()
+	o.id = first.id
+	repeat := c.w.send(o)
+	<-repeat.done
+	if n := c.w.standins.Runs(first.id); n != 1 {
+		c.fail(5, "booking before the restart ran %d times", n)
+	}
+	return nil
+}
+
+// runLeave stops an instance while a booking is in flight there.
+func runLeave(c *cell) error {
+	h := c.w.holdAt("bookdesk", snipestandin.StageAfterExecution)
+	o := order{service: "bookdesk", method: http.MethodPost, from: 2, to: c.victim, timeout: 28 * time.Second}
+	held, err := c.begin(&o)
+	if err != nil {
+		return err
+	}
+	if err := h.wait(c.ctx); err != nil {
+		return err
+	}
+	if err := c.victim.signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	event := map[string]string{"announced": "stop begins", "handedOver": "records handed over"}[c.step]
+	if err := until(eventLimit, func() error {
+		if !strings.Contains(c.victim.log.String(), event) {
+			return fmt.Errorf("no %q in the log", event)
+		}
+		return nil
+	}); err != nil {
+		return err
+	}
+	if err := c.inject(); err != nil {
+		return err
+	}
+	c.heal()
+	h.release()
+	<-held.done
+	if !c.has(faultDeath) {
+		if !c.has(faultSilence) && held.String() != "done" {
+			c.fail(7, "request in flight ended as %s (%v)", held, held.err)
+		}
+		select {
+		case <-c.victim.done:
+			if c.victim.exit != nil {
+				c.fail(7, "planned stop: %v", c.victim.exit)
+			}
+		case <-c.ctx.Done():
+			c.fail(7, "planned stop does not end")
+		}
+	}
+	o.id, o.to = held.id, c.w.instances[0]
+	<-c.w.send(o).done
+	return nil
+}
--- a/snipescenario/world_test.go
+++ b/snipescenario/world_test.go
@@ -79,6 +79,8 @@
 	log                       lockedBuffer
 	done                      chan struct{}
 	exit                      error
+	// paused is set while the process is stopped by a signal.
+	paused bool
 }
 
 type lockedBuffer struct {
@@ -342,6 +344,7 @@
 
 // kill ends the instance without notice and waits for its end.
 func (in *instance) kill() error {
+	in.paused = false
 	if err := in.signal(syscall.SIGKILL); err != nil {
 		return err
 	}
@@ -353,7 +356,7 @@
 func (w *world) control(operation string, a, b []string) error {
 	form := url.Values{"a": {strings.Join(a, ",")}, "b": {strings.Join(b, ",")}}
 	for _, in := range w.instances {
-		if !in.running() {
+		if !in.running() || in.paused {
 			continue
 		}
 		response, err := http.PostForm("http://"+in.ctrl+"/"+operation, form)
