--- a/snipedaemon/membership.go
+++ b/snipedaemon/membership.go
@@ -421,6 +421,7 @@
 		Address: n.Address, PeerAddress: n.PeerAddress, Incarnation: n.Incarnation, Place: n.Place,
 		Sequence: n.Sequence, Generation: n.Generation, InstantMillis: n.ClockMillis,
 		Leaving: n.Leaving, Ready: n.Ready, Watching: n.Watching, AgeMillis: millis(n.Age),
+		Silent: n.Silent, Relays: n.Relays,
 	}
 }
 
@@ -429,5 +430,6 @@
 		Address: s.GetAddress(), PeerAddress: s.GetPeerAddress(), Incarnation: s.GetIncarnation(), Place: s.GetPlace(),
 		Sequence: s.GetSequence(), Generation: s.GetGeneration(), ClockMillis: s.GetInstantMillis(),
 		Leaving: s.GetLeaving(), Ready: s.GetReady(), Watching: s.GetWatching(), Age: fromMillis(s.GetAgeMillis()),
+		Silent: s.GetSilent(), Relays: s.GetRelays(),
 	}
 }
--- a/snipedaemon/records.go
+++ b/snipedaemon/records.go
@@ -51,11 +51,13 @@
 
 	mu      sync.Mutex
 	waiters map[snipeonce.Waiter]chan snipeonce.Result
-	// successors maps a closed incarnation to the peer address of the instance
-	// that answers for it.
-	successors map[string]string
+	// successors maps a closed incarnation to the instance that answers for it.
+	successors map[string]successor
 }
 
+// successor is the instance that took the records of a closed one over.
+type successor struct{ address, incarnation string }
+
 func newRecords(log *zap.Logger, clock timer, node *snipepeer.Node, store *snipestore.Client, self identity, maxBytes int, members func() *snipemember.Snapshot) *records {
 	r := &records{
 		log: log, clock: clock, node: node, store: store, self: self, members: members,
@@ -64,7 +66,7 @@
 		minter:     snipeonce.NewMinter(self.incarnation),
 		budget:     snipeonce.NewClaimBudget(claimsPerSecond, claimBurst),
 		waiters:    make(map[snipeonce.Waiter]chan snipeonce.Result),
-		successors: make(map[string]string),
+		successors: make(map[string]successor),
 	}
 	snipepeer.HandleCall(node, func(_ context.Context, _ snipepeer.Peer, q *snipewire.RecordStatus) (*snipewire.RecordStatusReply, error) {
 		return r.answerStatus(q)
@@ -75,7 +77,7 @@
 	snipepeer.HandleSend(node, func(_ snipepeer.Peer, m *snipewire.SuccessorNotice) {
 		r.table.Notice(m.GetIncarnation(), m.GetSuccessorIncarnation(), r.clock.Now())
 		r.mu.Lock()
-		r.successors[m.GetIncarnation()] = m.GetSuccessorAddress()
+		r.successors[m.GetIncarnation()] = successor{m.GetSuccessorAddress(), m.GetSuccessorIncarnation()}
 		r.mu.Unlock()
 	})
 	return r
@@ -128,14 +130,27 @@
 	r.foreign.Tick(now)
 }
 
+// lastSuccessor follows the successors of an incarnation. A successor that stops
+// hands on what it has taken over.
+func (r *records) lastSuccessor(incarnation string) (last successor, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	// The bound is for notices that name each other.
+	for range len(r.successors) {
+		next, found := r.successors[incarnation]
+		if !found {
+			break
+		}
+		last, ok, incarnation = next, true, next.incarnation
+	}
+	return last, ok
+}
+
 // peerOf returns the peer address of the process that answers for an
 // incarnation.
 func (r *records) peerOf(incarnation string) (string, bool) {
-	r.mu.Lock()
-	successor, ok := r.successors[incarnation]
-	r.mu.Unlock()
-	if ok {
-		return successor, true
+	if s, ok := r.lastSuccessor(incarnation); ok {
+		return s.address, true
 	}
 	for _, m := range r.members().Members() {
 		if m.Incarnation == incarnation && m.State != snipemember.Gone {
--- a/snipedaemon/recordwire.go
+++ b/snipedaemon/recordwire.go
@@ -54,6 +54,7 @@
 func handoverTo(h snipeonce.Handover) *snipewire.RecordsHandover {
 	m := &snipewire.RecordsHandover{
 		Incarnation: h.Incarnation, AsOfMillis: h.AsOfMillis, Export: h.Export, Chunk: h.Chunk, Chunks: h.Chunks,
+		Sender: h.Sender,
 	}
 	for _, r := range h.Records {
 		m.Records = append(m.Records, recordTo(r.ID, r.Result))
@@ -64,7 +65,7 @@
 func handoverFrom(m *snipewire.RecordsHandover) (snipeonce.Handover, error) {
 	h := snipeonce.Handover{
 		Incarnation: m.GetIncarnation(), AsOfMillis: m.GetAsOfMillis(), Export: m.GetExport(),
-		Chunk: m.GetChunk(), Chunks: m.GetChunks(),
+		Chunk: m.GetChunk(), Chunks: m.GetChunks(), Sender: m.GetSender(),
 	}
 	for _, r := range m.GetRecords() {
 		id, err := snipeonce.ParseRequestID(r.GetRequestId())
--- a/snipeonce/claim.go
+++ b/snipeonce/claim.go
@@ -77,10 +77,8 @@
 
 // ClaimAction is the next step of a claim with its operands.
 type ClaimAction struct {
-	Step  ClaimStep
-	Value ClaimValue
-	// Lease is the store lease that a write binds the key to.
-	Lease   string
+	Step    ClaimStep
+	Value   ClaimValue
 	Version uint64
 	Other   RequestID
 	Result  Result
@@ -89,8 +87,8 @@
 // Claim claims one idempotency key for one request. Its owner begins the
 // request in its Table first, performs each action and reports the result, and
 // passes a refusal to Table.Finish. At the deadline of the request it abandons
-// the claim and finishes the request not-run: the lease of the claim counts from
-// the deadline. It is not safe for concurrent use.
+// the claim and finishes the request not-run: ClaimSweep relies on that. It is
+// not safe for concurrent use.
 //
 // The order matters. While the record is running, the issuer answers a
 // competing claimant with Running, and the claim cannot be replaced. Once the
@@ -102,21 +100,16 @@
 // named request ran, and the answer is unknown.
 type Claim struct {
 	value   ClaimValue
-	lease   string
 	last    ClaimAction
 	unclear int
 	rounds  int
 }
 
 // NewClaim returns a claim for a request and its first action. operation is
-// unique to this claim, lease is from ClaimLeases.For.
-func NewClaim(id RequestID, operation, lease string) (*Claim, ClaimAction) {
-	c := &Claim{value: ClaimValue{RequestID: id.String(), Operation: operation}, lease: lease}
-	return c, c.create()
-}
-
-func (c *Claim) create() ClaimAction {
-	return c.next(ClaimAction{Step: ClaimCreate, Value: c.value, Lease: c.lease})
+// unique to this claim.
+func NewClaim(id RequestID, operation string) (*Claim, ClaimAction) {
+	c := &Claim{value: ClaimValue{RequestID: id.String(), Operation: operation}}
+	return c, c.next(ClaimAction{Step: ClaimCreate, Value: c.value})
 }
 
 // Written reports that the last write took effect.
@@ -151,7 +144,7 @@
 	if c.rounds > maxRounds {
 		return c.refuse(ReasonClaimStoreUnavailable, OutcomeNotRun)
 	}
-	return c.create()
+	return c.next(ClaimAction{Step: ClaimCreate, Value: c.value})
 }
 
 // Found reports that a read found the given claim and version.
@@ -174,9 +167,7 @@
 func (c *Claim) Issuer(st Status) ClaimAction {
 	switch st.State {
 	case NeverStarted:
-		return c.next(ClaimAction{
-			Step: ClaimReplace, Value: c.value, Lease: c.lease, Version: c.last.Version,
-		})
+		return c.next(ClaimAction{Step: ClaimReplace, Value: c.value, Version: c.last.Version})
 	case Running, Finished:
 		return c.next(ClaimAction{Step: ClaimJoin, Other: c.last.Other})
 	default:
--- a/snipeonce/handover.go
+++ b/snipeonce/handover.go
@@ -1,6 +1,7 @@
 package snipeonce
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -98,6 +99,7 @@
 	for id, result := range in.records {
 		records = append(records, HandoverRecord{ID: id, Result: result})
 	}
+	slices.SortFunc(records, func(a, b HandoverRecord) int { return cmp.Compare(a.ID.String(), b.ID.String()) })
 	first := Handover{Incarnation: name, Sender: t.self, AsOfMillis: Millis(in.asOf), Export: t.exports}
 	chunks := split(first, records, maxBytes)
 	if !in.complete {
