--- a/snipedaemon/forwarding.go
+++ b/snipedaemon/forwarding.go
@@ -303,8 +303,8 @@
 }
 
 // Claim implements snipeforward.Records.
-func (a recordAdapter) Claim(ctx context.Context, team, service, key string, id snipeonce.RequestID) (snipeonce.RequestID, bool, *snipeonce.Result) {
-	return a.f.d.records.claim(ctx, team, service, key, id)
+func (a recordAdapter) Claim(ctx context.Context, team, service, key string, id snipeonce.RequestID, deadline snipetime.Instant) (snipeonce.RequestID, bool, *snipeonce.Result) {
+	return a.f.d.records.claim(ctx, team, service, key, id, deadline)
 }
 
 // Peer implements snipeforward.Records.
--- a/snipedaemon/records.go
+++ b/snipedaemon/records.go
@@ -46,6 +46,7 @@
 	foreign *snipeonce.ForeignAttempts
 	minter  *snipeonce.Minter
 	budget  *snipeonce.ClaimBudget
+	leases  *snipeonce.ClaimLeases
 	members func() *snipemember.Snapshot
 	tokens  atomic.Uint64
 
@@ -63,6 +64,7 @@
 		foreign:    snipeonce.NewForeignAttempts(self.incarnation),
 		minter:     snipeonce.NewMinter(self.incarnation),
 		budget:     snipeonce.NewClaimBudget(claimsPerSecond, claimBurst),
+		leases:     snipeonce.NewClaimLeases(0),
 		waiters:    make(map[snipeonce.Waiter]chan snipeonce.Result),
 		successors: make(map[string]string),
 	}
@@ -126,6 +128,21 @@
 		r.wake(lapse.Waiters, snipeonce.Result{Outcome: snipeonce.OutcomeUnknown, Reason: snipeonce.ReasonDeadline})
 	}
 	r.foreign.Tick(now)
+	if r.leases.Due(now) {
+		go r.openClaimLease(now)
+	}
+}
+
+// openClaimLease opens the store lease under which key claims are written next.
+func (r *records) openClaimLease(sent snipetime.Instant) {
+	ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
+	defer cancel()
+	lease, err := r.store.Grant(ctx, r.leases.TTL())
+	if err != nil {
+		r.log.Debug("no lease for key claims", zap.Error(err))
+		return
+	}
+	r.leases.Opened(lease, sent)
 }
 
 // peerOf returns the peer address of the process that answers for an
@@ -183,14 +200,18 @@
 
 // claim claims an idempotency key for a request that has begun. It returns the
 // request that owns the key if that is another one, or a refusal.
-func (r *records) claim(ctx context.Context, team, service, key string, id snipeonce.RequestID) (other snipeonce.RequestID, join bool, refused *snipeonce.Result) {
+func (r *records) claim(ctx context.Context, team, service, key string, id snipeonce.RequestID, deadline snipetime.Instant) (other snipeonce.RequestID, join bool, refused *snipeonce.Result) {
+	lease, ok := r.leases.For(deadline)
+	if !ok {
+		return other, false, &snipeonce.Result{Outcome: snipeonce.OutcomeNotRun, Reason: snipeonce.ReasonClaimStoreUnavailable}
+	}
 	if !r.budget.Allow(r.clock.Now()) {
 		return other, false, &snipeonce.Result{Outcome: snipeonce.OutcomeNotRun, Reason: snipeonce.ReasonClaimBudget}
 	}
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	path := snipeonce.ClaimPath(team, service, key)
-	claim, action := snipeonce.NewClaim(id, snipestore.NewOperation())
+	claim, action := snipeonce.NewClaim(id, snipestore.NewOperation(), lease)
 	for {
 		switch action.Step {
 		case snipeonce.ClaimHeld:
@@ -219,10 +240,13 @@
 	if action.Step == snipeonce.ClaimReplace {
 		version = action.Version
 	}
-	_, err = r.store.Put(ctx, path, value, version, "")
+	_, err = r.store.Put(ctx, path, value, version, action.Lease)
 	switch {
 	case err == nil:
 		return claim.Written()
+	case errors.Is(err, snipestore.ErrLeaseExpired):
+		r.leases.Expired(action.Lease)
+		return claim.Unavailable()
 	case errors.Is(err, snipestore.ErrConflict):
 		return claim.Conflict()
 	case errors.Is(err, snipestore.ErrUnclear):
@@ -257,12 +281,7 @@
 		if !r.handOver(ctx, p.PeerAddress, export) {
 			continue
 		}
-		notice := &snipewire.SuccessorNotice{
-			Incarnation: r.self.incarnation, SuccessorAddress: p.PeerAddress, SuccessorIncarnation: p.Incarnation,
-		}
-		for _, other := range peers {
-			_ = r.node.Send(other.PeerAddress, notice)
-		}
+		r.notifySuccessor(export, p, peers)
 		r.log.Info("records handed over", zap.String("peer", p.PeerAddress), zap.Int("messages", len(export)))
 		return p.PeerAddress
 	}
@@ -270,6 +289,23 @@
 	return ""
 }
 
+// notifySuccessor tells all peers who answers for the incarnations whose records
+// were handed over.
+func (r *records) notifySuccessor(export []snipeonce.Handover, successor snipemember.Member, peers []snipemember.Member) {
+	told := make(map[string]bool)
+	for _, h := range export {
+		if told[h.Incarnation] {
+			continue
+		}
+		told[h.Incarnation] = true
+		for _, p := range peers {
+			_ = r.node.Send(p.PeerAddress, &snipewire.SuccessorNotice{
+				Incarnation: h.Incarnation, SuccessorAddress: successor.PeerAddress, SuccessorIncarnation: successor.Incarnation,
+			})
+		}
+	}
+}
+
 func (r *records) handOver(ctx context.Context, peer string, messages []snipeonce.Handover) bool {
 	for _, h := range messages {
 		callCtx, cancel := context.WithTimeout(ctx, handoverTimeout)
--- a/snipeforward/once.go
+++ b/snipeforward/once.go
@@ -43,7 +43,7 @@
 	// A panic must leave the record as unknown, not as running.
 	defer func() { f.deps.Records.Finish(q.id, rec.result) }()
 	if q.key != "" {
-		other, join, refused := f.deps.Records.Claim(ctx, q.service.Team, q.service.Name, q.key, q.id)
+		other, join, refused := f.deps.Records.Claim(ctx, q.service.Team, q.service.Name, q.key, q.id, q.deadline)
 		switch {
 		case refused != nil:
 			rec.Refuse(end{outcome: refused.Outcome.String(), reason: string(refused.Reason), retryAfter: time.Second})
--- a/snipeforward/support_test.go
+++ b/snipeforward/support_test.go
@@ -349,7 +349,7 @@
 	return r.table.Revoke(id, r.clock.Now())
 }
 
-func (r recordFake) Claim(_ context.Context, _, _, key string, id snipeonce.RequestID) (snipeonce.RequestID, bool, *snipeonce.Result) {
+func (r recordFake) Claim(_ context.Context, _, _, key string, id snipeonce.RequestID, _ snipetime.Instant) (snipeonce.RequestID, bool, *snipeonce.Result) {
 	other, claimed := r.claims.LoadOrStore(key, id)
 	return other.(snipeonce.RequestID), claimed && other != id, nil
 }
--- a/snipeforward/types.go
+++ b/snipeforward/types.go
@@ -161,7 +161,7 @@
 	// Revoke prevents a later start and returns what is known.
 	Revoke(id snipeonce.RequestID) snipeonce.Status
 	// Claim claims an idempotency key for a request that has begun.
-	Claim(ctx context.Context, team, service, key string, id snipeonce.RequestID) (other snipeonce.RequestID, join bool, refused *snipeonce.Result)
+	Claim(ctx context.Context, team, service, key string, id snipeonce.RequestID, deadline snipetime.Instant) (other snipeonce.RequestID, join bool, refused *snipeonce.Result)
 	// Peer returns the peer address that answers for an incarnation.
 	Peer(incarnation string) (string, bool)
 	// Admit decides about an attempt relayed by another instance.
