--- a/snipedaemon/records.go
+++ b/snipedaemon/records.go
@@ -46,7 +46,6 @@
 	foreign *snipeonce.ForeignAttempts
 	minter  *snipeonce.Minter
 	budget  *snipeonce.ClaimBudget
-	leases  *snipeonce.ClaimLeases
 	members func() *snipemember.Snapshot
 	tokens  atomic.Uint64
 
@@ -66,7 +65,6 @@
 		foreign:    snipeonce.NewForeignAttempts(self.incarnation),
 		minter:     snipeonce.NewMinter(self.incarnation),
 		budget:     snipeonce.NewClaimBudget(claimsPerSecond, claimBurst),
-		leases:     snipeonce.NewClaimLeases(0),
 		waiters:    make(map[snipeonce.Waiter]chan snipeonce.Result),
 		successors: make(map[string]successor),
 	}
@@ -130,21 +128,6 @@
 		r.wake(lapse.Waiters, snipeonce.Result{Outcome: snipeonce.OutcomeUnknown, Reason: snipeonce.ReasonDeadline})
 	}
 	r.foreign.Tick(now)
-	if r.leases.Due(now) {
-		go r.openClaimLease(now)
-	}
-}
-
-// openClaimLease opens the store lease under which key claims are written next.
-func (r *records) openClaimLease(sent snipetime.Instant) {
-	ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
-	defer cancel()
-	lease, err := r.store.Grant(ctx, r.leases.TTL())
-	if err != nil {
-		r.log.Debug("no lease for key claims", zap.Error(err))
-		return
-	}
-	r.leases.Opened(lease, sent)
 }
 
 // lastSuccessor follows the successors of an incarnation. A successor that stops
@@ -216,20 +199,20 @@
 // claim claims an idempotency key for a request that has begun. It returns the
 // request that owns the key if that is another one, or a refusal.
 func (r *records) claim(ctx context.Context, team, service, key string, id snipeonce.RequestID, deadline snipetime.Instant) (other snipeonce.RequestID, join bool, refused *snipeonce.Result) {
-	lease, ok := r.leases.For(deadline)
-	if !ok {
-		return other, false, &snipeonce.Result{Outcome: snipeonce.OutcomeNotRun, Reason: snipeonce.ReasonClaimStoreUnavailable}
-	}
 	if !r.budget.Allow(r.clock.Now()) {
 		return other, false, &snipeonce.Result{Outcome: snipeonce.OutcomeNotRun, Reason: snipeonce.ReasonClaimBudget}
 	}
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	path := snipeonce.ClaimPath(team, service, key)
-	claim, action := snipeonce.NewClaim(id, snipestore.NewOperation(), lease)
+	claim, action := snipeonce.NewClaim(id, snipestore.NewOperation())
 	for {
 		switch action.Step {
 		case snipeonce.ClaimHeld:
+			// A sweep may delete the claim some time after the deadline.
+			if !deadline.After(r.clock.Now()) {
+				return other, false, &snipeonce.Result{Outcome: snipeonce.OutcomeNotRun, Reason: snipeonce.ReasonDeadline}
+			}
 			return other, false, nil
 		case snipeonce.ClaimJoin:
 			return action.Other, true, nil
@@ -255,13 +238,10 @@
 	if action.Step == snipeonce.ClaimReplace {
 		version = action.Version
 	}
-	_, err = r.store.Put(ctx, path, value, version, action.Lease)
+	_, err = r.store.Put(ctx, path, value, version, "")
 	switch {
 	case err == nil:
 		return claim.Written()
-	case errors.Is(err, snipestore.ErrLeaseExpired):
-		r.leases.Expired(action.Lease)
-		return claim.Unavailable()
 	case errors.Is(err, snipestore.ErrConflict):
 		return claim.Conflict()
 	case errors.Is(err, snipestore.ErrUnclear):
