--- a/snipedemo/demo.go
+++ b/snipedemo/demo.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -190,9 +191,20 @@
 	return nil
 }
 
-// stopOne stops the last instance as planned, which the platform's list shows.
+// holder returns the last instance that holds a position, so that its stop
+// includes a hand-over, or the last one if none does.
+func (w *world) holder() *instance {
+	for _, i := range slices.Backward(w.instances) {
+		if gaugeValue(i.registry, positionsMetric) > 0 {
+			return i
+		}
+	}
+	return w.instances[len(w.instances)-1]
+}
+
+// stopOne stops an instance as planned, which the platform's list shows.
 func (d *demo) stopOne(ctx context.Context) error {
-	i := d.world.instances[len(d.world.instances)-1]
+	i := d.world.holder()
 	record := &stopRecord{address: i.daemon.Address(), began: time.Now()}
 	d.world.standins.InstanceList().SetState(i.daemon.Address(), "leaving")
 	i.stop()
--- a/snipedemo/world.go
+++ b/snipedemo/world.go
@@ -19,6 +19,8 @@
 const (
 	// readyInterval is the time between looks at whether instances are ready.
 	readyInterval = 100 * time.Millisecond
+	// applyTries is how often a stale change is made again.
+	applyTries = 5
 	// positionsMetric counts the positions that an instance holds.
 	positionsMetric = "snipemoor_positions_held"
 )
@@ -124,20 +126,28 @@
 	return errors.Join(errs...)
 }
 
-// apply makes a change of the configuration and returns the new snapshot.
+// apply makes a change of the configuration and returns the new snapshot. An
+// operator can change the configuration of a running demo as well, so that a
+// stale change is repeated on the newer base.
 func (w *world) apply(ctx context.Context, change snipestore.Change) (*snipeconfig.Snapshot, error) {
-	report, err := snipestore.NewWriter(w.client).Apply(ctx, change)
-	if err != nil {
-		return nil, fmt.Errorf("apply configuration: %w", err)
-	}
-	if report.Outcome() != snipestore.Committed {
-		return nil, fmt.Errorf("apply configuration: outcome %s", report.Outcome())
-	}
-	snapshot, err := snipestore.NewReader(w.client).Load(ctx, nil)
-	if err != nil {
-		return nil, fmt.Errorf("read configuration: %w", err)
+	for range applyTries {
+		report, err := snipestore.NewWriter(w.client).Apply(ctx, change)
+		if err != nil {
+			return nil, fmt.Errorf("apply configuration: %w", err)
+		}
+		if report.Outcome() != snipestore.Committed && report.Outcome() != snipestore.Stale {
+			return nil, fmt.Errorf("apply configuration: outcome %s", report.Outcome())
+		}
+		snapshot, err := snipestore.NewReader(w.client).Load(ctx, nil)
+		if err != nil {
+			return nil, fmt.Errorf("read configuration: %w", err)
+		}
+		if report.Outcome() == snipestore.Committed {
+			return snapshot, nil
+		}
+		change.Base = snapshot
 	}
-	return snapshot, nil
+	return nil, fmt.Errorf("apply configuration: stale after %d tries", applyTries)
 }
 
 // drainDocument returns the document that drains a target.
