--- a/snipedaemon/forwarding.go
+++ b/snipedaemon/forwarding.go
@@ -41,6 +41,7 @@
 	f.forwarder = snipeforward.New(snipeforward.Dependencies{
 		Clock: d.clock, Config: f, Planner: f, Limits: f, Slots: slotAdapter{f}, Targets: d.pools, Relays: f,
 		Records: recordAdapter{f}, Policies: f, Lookups: f, Region: d.region, Incarnation: d.self.incarnation,
+		Log: d.log,
 	}, registry)
 	d.node.HandleRelay(f.forwarder.ServeRelay)
 	snipepeer.HandleCall(d.node, f.answerAttemptStatus)
@@ -302,8 +303,8 @@
 }
 
 // Claim implements snipeforward.Records.
-func (a recordAdapter) Claim(ctx context.Context, team, service, key string, id snipeonce.RequestID) (snipeonce.RequestID, bool, *snipeonce.Result) {
-	return a.f.d.records.claim(ctx, team, service, key, id)
+func (a recordAdapter) Claim(ctx context.Context, team, service, key string, id snipeonce.RequestID, deadline snipetime.Instant) (snipeonce.RequestID, bool, *snipeonce.Result) {
+	return a.f.d.records.claim(ctx, team, service, key, id, deadline)
 }
 
 // Peer implements snipeforward.Records.
--- a/snipeslot/messages.go
+++ b/snipeslot/messages.go
@@ -48,6 +48,9 @@
 	// with a longer expected wait is refused at once, so that it can ask another
 	// group.
 	MaximumWait time.Duration
+	// MaximumExpected is the expected wait above which the request is refused
+	// instead of queued; 0 sets no bound besides MaximumWait.
+	MaximumExpected time.Duration
 	// Excluded holds targets that this request has tried already.
 	Excluded []string
 	// Hedge requests are served from free slots only and do not queue.
@@ -83,6 +86,11 @@
 	TimeToLive time.Duration
 	Reason     Reason
 	RetryAfter time.Duration
+	// TakeOver, in a Queued reply, permits the member to start the request
+	// under a grant of the group whose attempt has just completed there, except
+	// at the Barred targets. Holder.HandOver applies it.
+	TakeOver bool
+	Barred   []string
 }
 
 // Cancel withdraws an Acquire whose grant will not be used.
@@ -129,6 +137,9 @@
 	Target           string
 	Latency          time.Duration
 	Outcome          Outcome
+	// Next is the attempt that the member has started under the same grant; it
+	// is empty if the grant ends.
+	Next string
 }
 
 // Running is an attempt under a grant.
@@ -150,6 +161,12 @@
 	// Sequence rises with each list of the member for the group.
 	Sequence uint64
 	Attempts []Running
+	// Generation is the configuration that the member had in force, and Digest
+	// identifies the targets of the group in it.
+	Generation, Digest uint64
+	// Foreign counts, by target of this group, the member's attempts under
+	// grants of other groups.
+	Foreign map[string]int
 }
 
 // RenewReply answers a Renew.
@@ -188,6 +205,9 @@
 	SetTargets(now snipetime.Instant, addresses []string, draining func(address string) bool)
 	// Choose returns an index in free, or -1 if none may take a request now.
 	Choose(now snipetime.Instant, free []sniperoute.Candidate) int
+	// ChooseSlow returns an index in free of a target that Choose avoids for its
+	// latency and that costs less than the wait, or -1.
+	ChooseSlow(free []sniperoute.Candidate, wait time.Duration) int
 	// Observe records the result of an attempt.
 	Observe(now snipetime.Instant, address string, r sniperoute.Result, latency time.Duration)
 	// Tick ends ejections that are over.
