--- a/snipedemo/demo_test.go
+++ b/snipedemo/demo_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io/fs"
+	"os"
 	"strings"
 	"testing"
 	"testing/fstest"
@@ -14,12 +15,14 @@
 	"github.com/snipemoor/snipemoor/snipeload"
 )
 
-// movedFiles returns the examples with the addresses of bakhour moved, so that
-// the test does not collide with a demo on the same machine.
+// movedFiles returns the examples with the addresses of bakhour moved by the
+// process identifier, so that the test does not collide with a demo or another
+// run of the test on the same machine.
 func movedFiles(t *testing.T) fs.FS {
 	t.Helper()
 	moved := fstest.MapFS{}
-	replacer := strings.NewReplacer(`"127.2.0.`, `"127.92.0.`, `"127.20.`, `"127.93.`)
+	n := os.Getpid() % 15
+	replacer := strings.NewReplacer(`"127.2.0.`, fmt.Sprintf(`"127.%d.0.`, 222+n), `"127.20.`, fmt.Sprintf(`"127.%d.`, 238+n))
 	files := examples.Files()
 	err := fs.WalkDir(files, "bakhour", func(name string, entry fs.DirEntry, err error) error {
 		if err != nil || entry.IsDir() {
--- a/snipeload/snipeload_test.go
+++ b/snipeload/snipeload_test.go
@@ -98,3 +98,32 @@
 	fmt.Println(r.Total(), r.Quantile(0.5).Round(time.Millisecond))
 	// Output: 100 50ms
 }
+
+// Guards against interrupted requests that look undisturbed because a later try
+// succeeded, and against refused connections that count as interrupted requests.
+func TestCutsAreCounted(t *testing.T) {
+	var addresses []string
+	list := func() []string { return addresses }
+	cutting := entryServer(t, list, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "10")
+		_, _ = w.Write([]byte("half"))
+		panic(http.ErrAbortHandler)
+	})
+	good := entryServer(t, list, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Snipemoor-Outcome", "done")
+	})
+	gone := httptest.NewServer(http.NotFoundHandler())
+	gone.Close()
+	for first, want := range map[*httptest.Server]int{cutting: 1, gone: 0} {
+		addresses = []string{strings.TrimPrefix(first.URL, "http://"), strings.TrimPrefix(good.URL, "http://")}
+		caller, err := snipeload.NewCaller(snipeload.CallerConfig{Entries: addresses[1:], Team: "t", Service: "s"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := caller.Do(t.Context(), snipeload.Request{Method: http.MethodPost, Path: "/"})
+		if r.Outcome() != snipeload.Done || r.Tries() != 2 || r.Cuts() != want {
+			t.Errorf("outcome %s after %d tries with %d cuts, want done, 2 and %d", r.Outcome(), r.Tries(), r.Cuts(), want)
+		}
+		caller.Close()
+	}
+}
--- a/snipestandin/snipestandin_test.go
+++ b/snipestandin/snipestandin_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -294,3 +295,31 @@
 		t.Errorf("a request failed after the cut: %v", err)
 	}
 }
+
+// Guards against callers of all client blocks that appear to be in one block.
+func TestNetworkLocalAddress(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	network := snipestandin.NewNetwork(snipestandin.NetworkSettings{
+		PlaceOf: func(netip.AddrPort) string { return "" },
+		Delay:   func(_, _ string) time.Duration { return 0 },
+	})
+	defer network.Close()
+	local := netip.MustParseAddr("127.96.3.1")
+	conn, err := network.DialerFrom("a", local)(t.Context(), "tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = accepted.Close() }()
+	if from := netip.MustParseAddrPort(accepted.RemoteAddr().String()); from.Addr() != local {
+		t.Errorf("connection from %s, want %s", from, local)
+	}
+}
