--- a/snipecli/golden_test.go
+++ b/snipecli/golden_test.go
@@ -50,3 +50,21 @@
 		}
 	}
 }
+
+// Guards against a terminal that shows no progress, or keeps the line after the
+// end.
+func TestProgress(t *testing.T) {
+	server := httptest.NewServer(http.NotFoundHandler())
+	defer server.Close()
+	clock := snipetime.New()
+	defer clock.Close()
+	var out, progress bytes.Buffer
+	app := snipecli.New(snipecli.Dependencies{Stdout: &out, Stderr: &progress, Clock: clock, Terminal: true})
+	app.Run(context.Background(), []string{
+		"load", "--entry", strings.TrimPrefix(server.URL, "http://"), "--team", "t", "--service", "s", "--duration", "1s",
+	})
+	text := progress.String()
+	if !strings.Contains(text, "finished") || !strings.Contains(text, "\r\x1b[K") {
+		t.Errorf("progress is %q", text)
+	}
+}
