--- a/snipedemo/settings.go
+++ b/snipedemo/settings.go
@@ -18,7 +18,9 @@
 const (
 	// DefaultDuration is the duration of the load.
 	DefaultDuration = 20 * time.Second
-	// DefaultLoad is the part of the slots' capacity that the load takes up.
+	// DefaultLoad is the part of the slots' capacity that the load takes up. It
+	// keeps the demo, all instances and stand-ins included, below two cores, and
+	// leaves room for cold targets, which are three times slower.
 	DefaultLoad = 0.15
 	// minDuration leaves time for a drain and a planned stop under load.
 	minDuration = 10 * time.Second
