sniperoute: use cold targets fully instead of a longer wait

Cause: the slow start leaves slots of a cold target empty while the queue is full, and its latency from before the restart hides what it takes now. Change: a request that would queue for longer uses the target above its slow-start share; a restart forgets the latency, and a restarted target is not ejected for latency during its slow start.

--- a/sniperoute/chooser.go
+++ b/sniperoute/chooser.go
@@ -152,6 +152,7 @@
 func (c *Chooser) SetCold(now snipetime.Instant, address string) {
 	if t := c.targets[address]; t != nil {
 		t.warm, t.warmFrom = false, now
+		t.ejections, t.samples, t.latency = 0, 0, 0
 	}
 }
 
@@ -209,13 +210,16 @@
 }
 
 // ChooseSlow returns the index in free of a target that is ejected for its
-// latency alone and costs a request less than the given wait for another one,
-// or -1. Of several it returns the fastest.
+// latency alone, or has used its slow-start share, and that costs a request less
+// than the given wait for another one, or -1. Of several it returns the fastest.
 func (c *Chooser) ChooseSlow(free []Candidate, wait time.Duration) int {
 	best, bestLatency := -1, c.median+float64(wait)
 	for i := range free {
 		t := c.targets[free[i].Address]
-		if t != nil && t.onlySlow && !t.draining && t.latency < bestLatency {
+		if t == nil || t.draining || t.latency >= bestLatency {
+			continue
+		}
+		if t.onlySlow || !t.ejected && !t.warm && t.samples > 0 {
 			best, bestLatency = i, t.latency
 		}
 	}
@@ -295,7 +299,9 @@
 		t.onlySlow = t.onlySlow && !failing
 		return
 	}
-	if failing || r == Completed && enough && c.slow(t) {
+	// A new target is expected to be slow, and its slow start limits it already.
+	starting := t.ejections == 0 && c.weight(now, t) < 1
+	if failing || r == Completed && enough && !starting && c.slow(t) {
 		c.eject(now, t)
 		t.onlySlow = t.ejected && !failing
 	}
--- a/sniperoute/sniperoute_test.go
+++ b/sniperoute/sniperoute_test.go
@@ -83,6 +83,34 @@
 	}
 }
 
+// Guards against the ejection of a restarted target for its slow first requests,
+// and against idle slots there while requests wait for longer than it takes.
+func TestColdTarget(t *testing.T) {
+	c := sniperoute.NewChooser(sniperoute.ChooserSettings{}, seeded(1))
+	c.SetTargets(0, []string{"a", "b", "c"}, nil)
+	observe := func(now snipetime.Instant, a string, latency time.Duration) {
+		for range 100 {
+			c.Tick(now)
+			c.Observe(now, a, sniperoute.Completed, latency)
+		}
+	}
+	for _, a := range []string{"a", "b", "c"} {
+		observe(0, a, 10*time.Millisecond)
+	}
+	c.SetCold(0, "c")
+	free := []sniperoute.Candidate{{Address: "c", Used: 1, Slots: 3}}
+	if i := c.ChooseSlow(free, time.Second); i != -1 {
+		t.Errorf("choice %d of a target with unknown latency", i)
+	}
+	observe(0, "c", 50*time.Millisecond)
+	if i, j := c.ChooseSlow(free, 30*time.Millisecond), c.ChooseSlow(free, 50*time.Millisecond); c.Ejected() > 0 || i != -1 || j != 0 {
+		t.Errorf("%d ejected, choices %d and %d, want 0, -1 and 0", c.Ejected(), i, j)
+	}
+	if observe(snipetime.Instant(sniperoute.DefaultSlowStart), "c", 50*time.Millisecond); c.Ejected() != 1 {
+		t.Error("a target that stays slow is not ejected after its slow start")
+	}
+}
+
 // Guards against an empty plan while a usable place exists.
 func TestPlanNeverEmpty(t *testing.T) {
 	p := sniperoute.NewPlanner(sniperoute.PlannerSettings{}, "r", seeded(3))
