--- a/snipetarget/pool.go
+++ b/snipetarget/pool.go
@@ -19,9 +19,10 @@
 
 // Settings configures Pools. A zero value selects the default.
 type Settings struct {
-	// MaxConns bounds the connections to one target; default 32.
+	// MaxConns bounds the connections to a target without SetBound; default 32.
 	MaxConns int
-	// ConnectCost is the least time between two dials of one target; default 1 ms.
+	// ConnectCost is the least time between two dials of a target without
+	// SetBound; default 1 ms.
 	ConnectCost time.Duration
 	// IdleTimeout closes an unused connection; default 30 s.
 	IdleTimeout time.Duration
@@ -63,11 +64,15 @@
 	mu     sync.Mutex
 	closed bool
 	pools  map[string]*pool
+	bounds map[string]bound
 }
 
 // New returns an empty set of pools.
 func New(settings Settings, dialer Dialer) *Pools {
-	return &Pools{settings: settings.withDefaults(), dialer: dialer, pools: make(map[string]*pool)}
+	return &Pools{
+		settings: settings.withDefaults(), dialer: dialer,
+		pools: make(map[string]*pool), bounds: make(map[string]bound),
+	}
 }
 
 func (p *Pools) pool(target string) (*pool, error) {
@@ -78,7 +83,7 @@
 	}
 	tp := p.pools[target]
 	if tp == nil {
-		tp = newPool(p.settings, p.dialer)
+		tp = newPool(p.settings, p.dialer, p.boundLocked(target))
 		p.pools[target] = tp
 	}
 	return tp, nil
@@ -89,6 +94,7 @@
 	p.mu.Lock()
 	tp := p.pools[target]
 	delete(p.pools, target)
+	delete(p.bounds, target)
 	p.mu.Unlock()
 	if tp != nil {
 		tp.close()
@@ -123,31 +129,53 @@
 	settings Settings
 	dialer   Dialer
 	limiter  *rate.Limiter
-	permits  chan struct{}
+	permits  *permits
 
 	mu        sync.Mutex
 	closed    bool
+	bound     bound
 	current   *generation
 	candidate *generation
 }
 
-func newPool(s Settings, d Dialer) *pool {
+func newPool(s Settings, d Dialer, b bound) *pool {
 	p := &pool{
 		settings: s,
 		dialer:   d,
-		limiter:  rate.NewLimiter(rate.Every(s.ConnectCost), 1),
-		permits:  make(chan struct{}, s.MaxConns),
+		limiter:  rate.NewLimiter(rate.Every(b.connectCost), 1),
+		permits:  newPermits(b.conns),
+		bound:    b,
 	}
 	p.current = p.newGeneration()
 	return p
 }
 
+// setBound replaces the transport if the number of connections changed, because
+// that of a transport is fixed.
+func (p *pool) setBound(b bound) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	former := p.bound
+	p.bound = b
+	p.limiter.SetLimit(rate.Every(b.connectCost))
+	if b.conns == former.conns || p.closed {
+		return
+	}
+	p.permits.resize(b.conns)
+	p.replaceLocked(p.newGeneration())
+	if p.candidate != nil {
+		p.retireLocked(p.candidate)
+		p.candidate = nil
+	}
+}
+
+// newGeneration needs the lock, unless the pool is new.
 func (p *pool) newGeneration() *generation {
 	return &generation{created: time.Now(), transport: &http.Transport{
 		DialContext:            p.dial,
 		DisableCompression:     true,
-		MaxConnsPerHost:        p.settings.MaxConns,
-		MaxIdleConnsPerHost:    p.settings.MaxConns,
+		MaxConnsPerHost:        p.bound.conns,
+		MaxIdleConnsPerHost:    p.bound.conns,
 		IdleConnTimeout:        p.settings.IdleTimeout,
 		MaxResponseHeaderBytes: p.settings.MaxHeaderBytes,
 		Protocols:              http1Only(),
@@ -165,12 +193,10 @@
 func (p *pool) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.settings.DialTimeout)
 	defer cancel()
-	select {
-	case p.permits <- struct{}{}:
-	case <-ctx.Done():
-		return nil, fmt.Errorf("wait for a connection permit: %w", ctx.Err())
+	if err := p.permits.acquire(ctx); err != nil {
+		return nil, fmt.Errorf("wait for a connection permit: %w", err)
 	}
-	release := func() { <-p.permits }
+	release := p.permits.release
 	if err := p.limiter.Wait(ctx); err != nil {
 		release()
 		return nil, fmt.Errorf("wait for the dial rate: %w", err)
@@ -248,7 +274,7 @@
 		p.retireLocked(g)
 	case g == p.current && reused && p.candidate == nil:
 		p.candidate = p.newGeneration()
-		if len(p.permits) == cap(p.permits) {
+		if p.permits.full() {
 			g.transport.CloseIdleConnections()
 		}
 	}
