snipeforward: close a connection with a rest of its upload

In full duplex net/http reads the rest of a body after it has aborted its background read; the next request then panics with "invalid concurrent Body.Read call" (seen in every run of the tests, as the connection alone was lost and no test failed), and after a failed read the rest would be taken for a request. The body is now taken away from the attempts before the handler returns, and the connection is closed unless the body was read to its end. The new test fails without the change.

--- a/snipeforward/body.go
+++ b/snipeforward/body.go
@@ -34,7 +34,10 @@
 	started  bool
 	// reading is set while a read waits for the caller.
 	reading bool
-	err     error
+	// idle is closed when the read ends that detach waits for.
+	idle  chan struct{}
+	ended bool
+	err   error
 }
 
 // readBody reads up to maxBufferedBody of src. limit bounds the whole body.
@@ -126,6 +129,26 @@
 	return io.NopCloser(c)
 }
 
+// detach takes the body away from all readers and waits for a read that is in
+// progress, which interrupt ends. It reports whether the body was read to its
+// end.
+func (b *body) detach(interrupt func()) bool {
+	b.mu.Lock()
+	b.owner, b.started = nil, true
+	var idle chan struct{}
+	if b.reading {
+		idle = make(chan struct{})
+		b.idle = idle
+	}
+	ended := b.ended
+	b.mu.Unlock()
+	if idle != nil {
+		interrupt()
+		<-idle
+	}
+	return ended
+}
+
 // consumingReader marks a body as consumed by its first read.
 type consumingReader struct {
 	body *body
@@ -146,7 +169,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.reading = false
+	if b.idle != nil {
+		close(b.idle)
+		b.idle = nil
+	}
 	b.consumed += int64(n)
+	b.ended = b.ended || errors.Is(err, io.EOF)
 	if err != nil && !errors.Is(err, io.EOF) && b.err == nil {
 		b.err = err
 	}
--- a/snipeforward/failures_test.go
+++ b/snipeforward/failures_test.go
@@ -33,7 +33,9 @@
 // the requests after the script.
 type scriptedTarget struct {
 	listener net.Listener
-	wg       sync.WaitGroup
+	// early answers before the body is read.
+	early bool
+	wg    sync.WaitGroup
 
 	mu     sync.Mutex
 	conns  []net.Conn
@@ -114,6 +116,11 @@
 	s.mu.Lock()
 	s.begun++
 	s.mu.Unlock()
+	if s.early {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nearly")
+		_, _ = io.Copy(io.Discard, req.Body)
+		return false
+	}
 	if at == dropAfterHeaders {
 		return false
 	}
--- a/snipeforward/faults_test.go
+++ b/snipeforward/faults_test.go
@@ -230,7 +230,7 @@
 	shifted := []Place{{Name: "r1", Region: "r1", NeedsShift: true}}
 	for _, hedge := range []time.Duration{0, time.Hour} {
 		a, _ := newFleet(t, shifted, target)
-		a.server.Config.ErrorLog = discardLog()
+		a.server.Config.ErrorLog = newLog(io.Discard)
 		a.panicAt, a.hedge = "shift", hedge
 		if resp, err := a.send(t.Context(), "GET", "safe/x", nil); err == nil {
 			t.Errorf("answered %v", resp)
@@ -270,3 +270,48 @@
 		other.close()
 	}
 }
+
+// Guards against the rest of an upload that is read as the next request on the
+// connection, or that makes net/http panic there: the target answers without
+// reading the body.
+func TestRestOfUploadIsNotARequest(t *testing.T) {
+	target := newScriptedTarget(t)
+	defer target.close()
+	target.early = true
+	a, _ := newFleet(t, localPlan, target.listener.Addr().String())
+	var log lockedBuffer
+	a.server.Config.ErrorLog = newLog(&log)
+	rest := "GET /call/t/safe/smuggled HTTP/1.1\r\nHost: h\r\n\r\n"
+	for _, size := range []int{70000, 300000} {
+		for _, arrives := range []bool{true, false} {
+			head := fmt.Sprintf("POST /call/t/idempotent/x HTTP/1.1\r\nHost: h\r\nSnipemoor-Timeout: 300ms\r\nContent-Length: %d\r\n\r\n", size)
+			body := strings.Repeat("x", size-len(rest)) + rest
+			c, err := net.Dial("tcp", a.server.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = c.SetDeadline(time.Now().Add(testLimit))
+			_, _ = io.WriteString(c, head+"x")
+			r := bufio.NewReader(c)
+			resp, err := http.ReadResponse(r, nil)
+			if err != nil || resp.StatusCode != http.StatusOK {
+				t.Fatal(resp, err)
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+			if arrives {
+				// The instance can have closed the connection by now.
+				_, _ = io.WriteString(c, body[1:]+rest)
+			}
+			if second, err := http.ReadResponse(r, nil); err == nil {
+				t.Errorf("size %d: a part of the body was answered with %s", size, second.Status)
+			}
+			_ = c.Close()
+		}
+	}
+	if begun, _ := target.counts(); begun != 4 {
+		t.Errorf("%d requests at the target", begun)
+	}
+	if text := log.String(); strings.Contains(text, "panic") {
+		t.Error(text)
+	}
+}
--- a/snipeforward/forwarder.go
+++ b/snipeforward/forwarder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -144,6 +145,9 @@
 		f.metrics.ended(q.service, *refused)
 		return
 	}
+	if !q.body.whole {
+		defer endUpload(w, q.body, s.control)
+	}
 	observed := &observer{sink: s, metrics: f.metrics, service: q.service, clock: f.deps.Clock, started: started}
 	f.serve(r.Context(), q, observed)
 	if s.aborted {
@@ -151,6 +155,18 @@
 	}
 }
 
+// endUpload ends a body that was sent while it arrived. A connection with a rest
+// of the body is closed after the response: in full duplex net/http would read
+// the rest too late and panic on the next request, or take it for that request.
+func endUpload(w http.ResponseWriter, b *body, control *http.ResponseController) {
+	if b.detach(func() { _ = control.SetReadDeadline(time.Unix(1, 0)) }) {
+		return
+	}
+	// A body above its limit is the documented way to have net/http close a
+	// connection after a response whose headers are already sent.
+	_, _ = http.MaxBytesReader(w, io.NopCloser(strings.NewReader("x")), 0).Read(make([]byte, 1))
+}
+
 // serve takes an accepted request to its end.
 func (f *Forwarder) serve(ctx context.Context, q *request, s sink) {
 	if q.class == sniperetry.Once {
--- a/snipeforward/support_test.go
+++ b/snipeforward/support_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -373,4 +374,22 @@
 	r.foreign.Finish(id, result, r.clock.Now())
 }
 
-func discardLog() *log.Logger { return log.New(io.Discard, "", 0) }
+func newLog(w io.Writer) *log.Logger { return log.New(w, "", 0) }
+
+// lockedBuffer keeps what a server logs.
+type lockedBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
