--- a/snipescenario/guarantees_test.go
+++ b/snipescenario/guarantees_test.go
@@ -32,6 +32,13 @@
 	sent := slices.Clone(w.sent)
 	leaving := slices.Clone(w.leaving)
 	w.mu.Unlock()
+	for _, in := range w.instances {
+		for _, sign := range []string{"panic:", "WARNING: DATA RACE"} {
+			if strings.Contains(in.log.String(), sign) {
+				add(0, "log of %s has %q", in.name, sign)
+			}
+		}
+	}
 	for _, r := range sent {
 		runs := w.standins.Runs(r.id)
 		// Without a record, a refusal is about the last of several tries only.
--- a/snipescenario/world_test.go
+++ b/snipescenario/world_test.go
@@ -29,21 +29,21 @@
 // world is a reduced deployment with its stand-ins and instances.
 type world struct {
 	deploymentName
-	directory  string
-	prefix     string
-	clock      *snipetime.Service
-	standins   *snipestandin.Deployment
-	store      *snipestore.Client
-	instances  []*instance
-	mu         sync.Mutex
-	documents  map[snipeconfig.Ref]*snipeconfig.Document
-	results    map[string]*outcome
-	holds      map[string]*hold
-	loads      map[string]*load
-	sent       []*outcome
-	leaving    []drained
-	caps       map[string]int
-	base       *snipeconfig.Snapshot
+	directory string
+	prefix    string
+	clock     *snipetime.Service
+	standins  *snipestandin.Deployment
+	store     *snipestore.Client
+	instances []*instance
+	mu        sync.Mutex
+	documents map[snipeconfig.Ref]*snipeconfig.Document
+	results   map[string]*outcome
+	holds     map[string]*hold
+	loads     map[string]*load
+	sent      []*outcome
+	leaving   []drained
+	caps      map[string]int
+	base      *snipeconfig.Snapshot
 }
 
 // deploymentName is the part of an example deployment that a world has.
