--- a/sniperoute/sniperoute_test.go
+++ b/sniperoute/sniperoute_test.go
@@ -130,6 +130,16 @@
 	if c.Ejected() != 1 || c.Weight(0, "c") != 0 {
 		t.Fatalf("%d ejected, weight of c %v", c.Ejected(), c.Weight(0, "c"))
 	}
+	// A request that waits for longer than the slow target takes in addition may
+	// use it, unless the target fails as well.
+	free := []sniperoute.Candidate{{Address: "a", Slots: 1}, {Address: "c", Slots: 1}}
+	if i, j := c.ChooseSlow(free, 80*time.Millisecond), c.ChooseSlow(free, 100*time.Millisecond); i != -1 || j != 1 {
+		t.Errorf("choices %d and %d, want -1 and 1", i, j)
+	}
+	c.Probe(0, "c", sniperoute.Probe{Healthy: false})
+	if i := c.ChooseSlow(free, time.Second); i != -1 {
+		t.Errorf("choice %d of an unhealthy target", i)
+	}
 	back := snipetime.Instant(sniperoute.DefaultEjection)
 	c.Tick(back)
 	if w := c.Weight(back, "c"); w <= 0 || w > 0.5 {
@@ -165,3 +175,26 @@
 		t.Errorf("a failing instance is preferred: %v", chosen)
 	}
 }
+
+// Guards against a request that queues at a full home place because the weight
+// of the other place of the region fell to 0 on a report that is seconds old.
+func TestPlanNamesPlaceWithoutWeight(t *testing.T) {
+	p := sniperoute.NewPlanner(sniperoute.PlannerSettings{}, "r", seeded(4))
+	places := []sniperoute.Place{{Name: "a", Region: "r"}, {Name: "b", Region: "r"}, {Name: "c", Region: "s", Instances: 1}}
+	if err := p.SetPlaces(places, flat); err != nil {
+		t.Fatal(err)
+	}
+	for step := range 20 {
+		now := snipetime.Instant(step) * snipetime.Instant(3*time.Second)
+		for _, pl := range places {
+			p.Report(now, pl.Name, sniperoute.Load{Total: 4, Queued: 1})
+		}
+		named := map[string]int{}
+		for _, c := range p.Plan("a", make([]sniperoute.PlaceCandidate, 0, 4)) {
+			named[c.Place]++
+		}
+		if named["a"] != 1 || named["b"] != 1 {
+			t.Fatalf("step %d: the plan names the places %v", step, named)
+		}
+	}
+}
--- a/snipeslot/owner.go
+++ b/snipeslot/owner.go
@@ -36,14 +36,16 @@
 type target struct {
 	Target
 	used    int
+	foreign int // attempts under grants of other groups
 	removed bool
+	hold    hold
 }
 
 func (t *target) free() int {
-	if t.Draining || t.removed {
+	if t.Draining || t.removed || t.hold.generation > 0 {
 		return 0
 	}
-	return max(t.Slots-t.used, 0)
+	return max(t.Slots-t.used-t.foreign, 0)
 }
 
 type grant struct {
@@ -60,13 +62,19 @@
 	chooser  Chooser
 	lease    snipetime.Instant
 	targets  map[string]*target
-	order    []*target // by address, so that choices are reproducible
-	grants   map[string]*grant
+	order    []*target         // by address, so that choices are reproducible
+	grants   map[uint64]*grant // by grant identifier
+	attempts map[string]*grant // by attempt
 	queue    queue
 	counter  uint32
 	service  time.Duration // smoothed time from grant to release
 	recovery recovery
-	free     []sniperoute.Candidate
+	reports  map[Member]report
+	// generation is that of the next Configure; configured is set after the first.
+	generation uint64
+	configured bool
+	digest     uint64 // of the addresses of the configured targets
+	free       []sniperoute.Candidate
 }
 
 // NewOwner returns an owner in recovery, without targets and lease. now must
@@ -86,7 +94,9 @@
 		chooser:  chooser,
 		lease:    now,
 		targets:  map[string]*target{},
-		grants:   map[string]*grant{},
+		grants:   map[uint64]*grant{},
+		attempts: map[string]*grant{},
+		reports:  map[Member]report{},
 		recovery: newRecovery(now.Add(settings.TimeToLive + driftMargin(settings.TimeToLive))),
 	}
 }
@@ -98,15 +108,25 @@
 // Configure replaces the targets. A target that is missing from the list drains
 // and is forgotten when idle. Lowered slots take effect as attempts end.
 func (o *Owner) Configure(now snipetime.Instant, targets []Target) []Reply {
+	present := make(map[string]bool, len(o.targets))
 	for _, t := range o.targets {
+		present[t.Address] = !t.removed
 		t.removed = true
 	}
 	addresses := make([]string, 0, len(targets))
 	for _, t := range targets {
 		s := o.target(t.Address)
+		if !present[t.Address] {
+			s.hold = o.newHold(now)
+		}
 		s.Target, s.removed = t, false
 		addresses = append(addresses, t.Address)
 	}
+	o.configured, o.digest = true, digestOf(addresses)
+	for m := range o.reports {
+		o.countForeign(m)
+	}
+	o.endHolds(now)
 	o.forgetIdle()
 	o.chooser.SetTargets(now, addresses, func(a string) bool { return o.targets[a].Draining })
 	return o.dispatch(now)
@@ -126,7 +146,7 @@
 
 func (o *Owner) forgetIdle() {
 	o.order = slices.DeleteFunc(o.order, func(t *target) bool {
-		idle := t.removed && t.used == 0
+		idle := t.removed && t.used == 0 && t.foreign == 0
 		if idle {
 			delete(o.targets, t.Address)
 		}
@@ -147,7 +167,7 @@
 // Acquire answers a request for a slot. A repeated request for an attempt that
 // is granted or queued has the same answer as the first.
 func (o *Owner) Acquire(now snipetime.Instant, a Acquire) Reply {
-	if g := o.grants[a.AttemptID]; g != nil && g.from == a.From && g.reply.State == Granted {
+	if g := o.attempts[a.AttemptID]; g != nil && g.from == a.From && g.reply.State == Granted {
 		return g.reply
 	}
 	if o.queue.find(a.AttemptID) >= 0 {
@@ -201,10 +221,16 @@
 		return o.reply(e.acquire, Refused, ReasonQueueFull, wait)
 	case !now.Add(wait).Before(e.deadline):
 		return o.reply(e.acquire, Refused, ReasonWouldMissDeadline, wait)
-	case wait > e.acquire.MaximumWait:
+	case wait > e.acquire.MaximumWait, e.acquire.MaximumExpected > 0 && wait > e.acquire.MaximumExpected:
 		return o.reply(e.acquire, Refused, ReasonNoSlot, wait)
 	}
+	if r, ok := o.grantSlow(now, e, wait); ok {
+		return r
+	}
 	o.queue.insert(at, e)
+	if at < takeOverFirst && !o.recovery.active {
+		return o.offer(now, e, o.barred(now))
+	}
 	return o.reply(e.acquire, Queued, ReasonNone, 0)
 }
 
@@ -237,23 +263,47 @@
 
 // tryGrant grants a free slot that the entry does not exclude.
 func (o *Owner) tryGrant(now snipetime.Instant, e *entry) (Reply, bool) {
-	if o.recovery.active || !now.Before(o.lease) {
+	if !o.collectFree(now, e) {
 		return Reply{}, false
 	}
-	o.free = o.free[:0]
-	for _, t := range o.order {
-		if t.free() > 0 && !slices.Contains(e.acquire.Excluded, t.Address) {
-			o.free = append(o.free, sniperoute.Candidate{Address: t.Address, Used: t.used, Slots: t.Slots})
-		}
+	i := o.chooser.Choose(now, o.free)
+	if i < 0 {
+		return Reply{}, false
 	}
-	if len(o.free) == 0 {
+	return o.grant(now, e, o.free[i].Address), true
+}
+
+// grantSlow grants a slot of a target that is avoided for its latency if the
+// entry would wait longer than the target takes in addition.
+func (o *Owner) grantSlow(now snipetime.Instant, e *entry, wait time.Duration) (Reply, bool) {
+	if !o.collectFree(now, e) {
 		return Reply{}, false
 	}
-	i := o.chooser.Choose(now, o.free)
+	i := o.chooser.ChooseSlow(o.free, wait)
 	if i < 0 {
 		return Reply{}, false
 	}
-	t := o.targets[o.free[i].Address]
+	return o.grant(now, e, o.free[i].Address), true
+}
+
+// collectFree sets o.free to the targets with a free slot that the entry does
+// not exclude. It reports false if there are none or no grant may be made.
+func (o *Owner) collectFree(now snipetime.Instant, e *entry) bool {
+	if o.recovery.active || !now.Before(o.lease) {
+		return false
+	}
+	o.free = o.free[:0]
+	for _, t := range o.order {
+		if t.free() > 0 && !slices.Contains(e.acquire.Excluded, t.Address) {
+			o.free = append(o.free, sniperoute.Candidate{Address: t.Address, Used: t.used, Slots: t.Slots})
+		}
+	}
+	return len(o.free) > 0
+}
+
+// grant takes a slot of the target for the entry.
+func (o *Owner) grant(now snipetime.Instant, e *entry, address string) Reply {
+	t := o.targets[address]
 	t.used++
 	o.counter++
 	r := o.reply(e.acquire, Granted, ReasonNone, 0)
@@ -263,8 +313,8 @@
 	// that its time always ends before the owner's.
 	ttl := o.settings.TimeToLive
 	r.TimeToLive = now.Sub(e.arrived) + ttl - driftMargin(ttl+now.Sub(e.arrived))
-	o.grants[e.acquire.AttemptID] = &grant{reply: r, from: e.acquire.From, granted: now, expires: now.Add(ttl)}
-	return r, true
+	o.add(&grant{reply: r, from: e.acquire.From, granted: now, expires: now.Add(ttl)})
+	return r
 }
 
 // dispatch grants free slots to queued requests in deadline order.
@@ -290,7 +340,7 @@
 		o.queue.remove(i)
 		free--
 	}
-	return replies
+	return o.offerFirst(now, replies)
 }
 
 // expire returns the refusal of an entry whose wait has ended.
@@ -301,17 +351,27 @@
 	return o.reply(e.acquire, Refused, ReasonDeadline, 0)
 }
 
-// Release ends a grant and returns the replies to queued requests that it
-// serves. A release that does not match a grant has no effect.
+// Release ends a grant, or moves it to the attempt that the member has started
+// under it, and returns the replies to queued requests that it serves. A release
+// that does not match a grant has no effect.
 func (o *Owner) Release(now snipetime.Instant, r Release) []Reply {
-	g := o.grants[r.AttemptID]
-	if g == nil || g.from != r.From || g.reply.GrantID != r.GrantID {
+	g := o.grants[r.GrantID]
+	if g == nil || g.from != r.From {
 		return nil
 	}
-	o.drop(r.AttemptID, g)
+	granted := g.granted
+	switch {
+	case r.Next == "":
+		o.drop(g)
+	case g.reply.AttemptID != r.AttemptID:
+		// The grant was moved again by a message that was sent later.
+		return nil
+	default:
+		o.move(now, g, r.Next)
+	}
 	o.chooser.Observe(now, g.reply.Target, r.Outcome.result(), r.Latency)
 	if r.Outcome != OutcomeCancelled {
-		o.observeService(now.Sub(g.granted))
+		o.observeService(now.Sub(granted))
 	}
 	return o.dispatch(now)
 }
@@ -325,8 +385,16 @@
 	o.service += (d - o.service) / 16
 }
 
-func (o *Owner) drop(id string, g *grant) {
-	delete(o.grants, id)
+func (o *Owner) add(g *grant) {
+	o.grants[g.reply.GrantID] = g
+	o.attempts[g.reply.AttemptID] = g
+}
+
+func (o *Owner) drop(g *grant) {
+	delete(o.grants, g.reply.GrantID)
+	if o.attempts[g.reply.AttemptID] == g {
+		delete(o.attempts, g.reply.AttemptID)
+	}
 	t := o.targets[g.reply.Target]
 	t.used--
 	if t.removed && t.used == 0 {
@@ -340,25 +408,26 @@
 	if i := o.queue.find(c.AttemptID); i >= 0 && o.queue.entries[i].acquire.From == c.From {
 		o.queue.remove(i)
 	}
-	g := o.grants[c.AttemptID]
+	g := o.attempts[c.AttemptID]
 	if g == nil || g.from != c.From {
 		return nil
 	}
-	o.drop(c.AttemptID, g)
+	o.drop(g)
 	return o.dispatch(now)
 }
 
 // Tick ends grants and queue entries whose time is over, and the recovery. It
 // is to be called at least every 100 ms.
 func (o *Owner) Tick(now snipetime.Instant) []Reply {
-	for id, g := range o.grants {
+	for _, g := range o.grants {
 		if !now.Before(g.expires) {
-			o.drop(id, g)
+			o.drop(g)
 		}
 	}
 	if o.recovery.active && !now.Before(o.recovery.until) {
 		o.recovery.active = false
 	}
+	o.endHolds(now)
 	var replies []Reply
 	o.queue.entries = slices.DeleteFunc(o.queue.entries, func(e *entry) bool {
 		over := !now.Before(e.giveUp)
