--- a/snipescenario/matrixflows_test.go
+++ b/snipescenario/matrixflows_test.go
@@ -1,12 +1,13 @@
 package snipescenario_test
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net/http"
 	"slices"
 	"strings"
-	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -45,7 +46,7 @@
 func (c *cell) call(o order) *outcome {
 	found, err := c.w.lookup(o.to, o.service, o.from)
 	if err != nil {
-		c.fail(0, "look-up: %v", err)
+		c.failf(0, "look-up: %v", err)
 		return nil
 	}
 	o.id = found.RequestIDPrefix + ".1"
@@ -82,7 +83,7 @@
 func (c *cell) mustBeDone(r *outcome) {
 	<-r.done
 	if c.untouched() && r.String() != "done" {
-		c.fail(0, "request in flight ended as %s (%v)", r, r.err)
+		c.failf(0, "request in flight ended as %s (%v)", r, r.err)
 	}
 }
 
@@ -110,7 +111,7 @@
 	}
 	<-l.done
 	if c.untouched() && l.report.Outcomes()["done"] != l.report.Total() {
-		c.fail(0, "%d requests, outcomes %v", l.report.Total(), l.report.Counts())
+		c.failf(0, "%d requests, outcomes %v", l.report.Total(), l.report.Counts())
 	}
 	return nil
 }
@@ -193,15 +194,16 @@
 // to a key under a prefix reaches the store, before it takes effect.
 func (c *cell) atStoreCall(kind snipestandin.CallKind, prefix string, begin func() (*outcome, error)) (*outcome, error) {
 	reached, proceed := make(chan struct{}), make(chan struct{})
-	var once sync.Once
+	var first atomic.Bool
 	c.w.standins.Store().SetHook(func(k snipestandin.CallKind, path string) {
 		if k != kind || !strings.HasPrefix(path, "/v1/kv/"+prefix) && kind == snipestandin.CallPut {
 			return
 		}
-		once.Do(func() {
+		// Only the first call waits; those of racing operators go on.
+		if first.CompareAndSwap(false, true) {
 			close(reached)
 			<-proceed
-		})
+		}
 	})
 	defer close(proceed)
 	r, err := begin()
@@ -216,6 +218,18 @@
 	return r, c.inject()
 }
 
+// operatorPatience is how long an operator waits for a change.
+const operatorPatience = 8 * time.Second
+
+// heldTimeout is the time limit of a request that is held at its target; it
+// outlasts a planned stop up to the hand-over, and in cells with a pause that too.
+func (c *cell) heldTimeout() time.Duration {
+	if c.has(faultPause) {
+		return 28 * time.Second
+	}
+	return 12 * time.Second
+}
+
 // apply commits documents as an operator does: it repeats a change that was
 // stale on the new base, and one with an error or an unclear outcome after the
 // faults. It returns the generation of the change.
@@ -228,7 +242,9 @@
 	start(func() {
 		go func() {
 			defer close(done)
-			report, err = c.w.tryCommit(c.ctx, operation, base)
+			ctx, cancel := context.WithTimeout(c.ctx, operatorPatience)
+			defer cancel()
+			report, err = c.w.tryCommit(ctx, operation, base)
 		}()
 	})
 	<-done
@@ -236,7 +252,7 @@
 		return report.Generation(), nil
 	}
 	if err == nil && report.Outcome() == snipestore.Stale && len(report.Difference()) == 0 && !c.storeFails() {
-		c.fail(8, "stale change shows no difference")
+		c.failf(8, "stale change shows no difference")
 	}
 	unclear := err == nil && report.Outcome() == snipestore.Unclear
 	c.recover()
@@ -303,7 +319,7 @@
 		}
 	}
 	if err := until(propagation, func() error { return c.w.inForce(generation, unreachable...) }); err != nil {
-		c.fail(8, "accepted change: %v", err)
+		c.failf(8, "accepted change: %v", err)
 	}
 }
 
@@ -319,7 +335,7 @@
 			return err
 		}
 		held = c.w.send(order{
-			id: found.RequestIDPrefix + ".1", service: "droplog", method: http.MethodPost, to: c.w.instances[0], timeout: 25 * time.Second,
+			id: found.RequestIDPrefix + ".1", service: "droplog", method: http.MethodPost, to: c.w.instances[0], timeout: c.heldTimeout(),
 		})
 		if err := h.wait(c.ctx); err != nil {
 			return err
@@ -407,7 +423,7 @@
 	repeat := c.w.send(o)
 	<-repeat.done
 	if n := c.w.standins.Runs(first.id); n != 1 {
-		c.fail(5, "booking before the restart ran %d times", n)
+		c.failf(5, "booking before the restart ran %d times", n)
 	}
 	return nil
 }
@@ -415,7 +431,7 @@
 // runLeave stops an instance while a booking is in flight there.
 func runLeave(c *cell) error {
 	h := c.w.holdAt("bookdesk", snipestandin.StageAfterExecution)
-	o := order{service: "bookdesk", method: http.MethodPost, from: 2, to: c.victim, timeout: 28 * time.Second}
+	o := order{service: "bookdesk", method: http.MethodPost, from: 2, to: c.victim, timeout: c.heldTimeout()}
 	held, err := c.begin(&o)
 	if err != nil {
 		return err
@@ -443,15 +459,15 @@
 	<-held.done
 	if !c.has(faultDeath) {
 		if !c.has(faultSilence) && held.String() != "done" {
-			c.fail(7, "request in flight ended as %s (%v)", held, held.err)
+			c.failf(7, "request in flight ended as %s (%v)", held, held.err)
 		}
 		select {
 		case <-c.victim.done:
 			if c.victim.exit != nil {
-				c.fail(7, "planned stop: %v", c.victim.exit)
+				c.failf(7, "planned stop: %v", c.victim.exit)
 			}
 		case <-c.ctx.Done():
-			c.fail(7, "planned stop does not end")
+			c.failf(7, "planned stop does not end")
 		}
 	}
 	o.id, o.to = held.id, c.w.instances[0]
