--- a/snipedaemon/configuration.go
+++ b/snipedaemon/configuration.go
@@ -20,6 +20,9 @@
 	// configCallTimeout bounds a request for documents to a peer.
 	configCallTimeout = 2 * time.Second
 	maxFetches        = 2
+	// conflictPause is the least time between two reads that resolve a conflict
+	// of digests, because heartbeats repeat it twice a second.
+	conflictPause = 5 * time.Second
 )
 
 // configuration keeps the generation in force: it reads the store where this
@@ -38,7 +41,9 @@
 	mu       sync.Mutex
 	fetching map[string]bool
 	watch    context.CancelFunc
-	wg       sync.WaitGroup
+	// conflictAt is when a conflict of digests was last resolved.
+	conflictAt time.Time
+	wg         sync.WaitGroup
 }
 
 func newConfiguration(log *zap.Logger, node *snipepeer.Node, store *snipestore.Client, metrics *metrics) *configuration {
@@ -184,10 +189,7 @@
 func (c *configuration) announced(peer string, generation, digest uint64) {
 	snapshot := c.current()
 	if snapshot != nil && generation == snapshot.Generation() && digest != snapshot.Digest() {
-		c.metrics.digestConflicts.Inc()
-		c.log.Error("peer has the same generation with another digest", zap.String("peer", peer),
-			zap.Uint64("generation", generation))
-		c.spawn(func() { c.loadStore(context.Background()) })
+		c.conflict(peer, generation)
 		return
 	}
 	if generation > c.generation() && c.beginFetch(peer) {
@@ -200,6 +202,25 @@
 	}
 }
 
+// conflict counts a peer with another digest and lets the store decide, at most
+// once in conflictPause.
+func (c *configuration) conflict(peer string, generation uint64) {
+	c.metrics.digestConflicts.Inc()
+	c.mu.Lock()
+	now := time.Now()
+	due := now.Sub(c.conflictAt) >= conflictPause
+	if due {
+		c.conflictAt = now
+	}
+	c.mu.Unlock()
+	if !due {
+		return
+	}
+	c.log.Error("peer has the same generation with another digest", zap.String("peer", peer),
+		zap.Uint64("generation", generation))
+	c.spawn(func() { c.loadStore(context.Background()) })
+}
+
 // beginFetch reports whether to ask peer now. Two peers are asked at a time, so
 // that one that does not respond delays a change only little.
 func (c *configuration) beginFetch(peer string) bool {
--- a/snipedaemon/daemon.go
+++ b/snipedaemon/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -89,10 +90,20 @@
 	}
 	d.build(deps, peerListener)
 	d.buildForwarding(deps.Registry)
-	d.adminServer = &http.Server{Handler: newAdmin(d, deps.Registry), ReadHeaderTimeout: adminHeaderTimeout}
+	d.adminServer = &http.Server{Handler: newAdmin(d, deps.Registry), ReadHeaderTimeout: adminHeaderTimeout, ErrorLog: d.serverLog()}
 	return d, nil
 }
 
+// serverLog returns the log of an HTTP server, which reports panics and broken
+// connections there.
+func (d *Daemon) serverLog() *log.Logger {
+	l, err := zap.NewStdLogAt(d.log, zap.WarnLevel)
+	if err != nil {
+		return nil
+	}
+	return l
+}
+
 func newIdentity(settings *Settings, incarnation string) identity {
 	address := settings.listen.String()
 	seed := settings.seed
@@ -216,6 +227,13 @@
 		every(ctx, d.settings.listInterval, func() { d.members.pollList(d.clock.Now()) })
 	})
 	addLoop(&g, func(ctx context.Context) { every(ctx, instanceLease/3, func() { d.members.keepLease(ctx) }) })
+	addLoop(&g, func(ctx context.Context) {
+		every(ctx, claimSweepPeriod, func() {
+			if d.config.watching() {
+				d.records.sweep(ctx)
+			}
+		})
+	})
 	addLoop(&g, func(ctx context.Context) {
 		every(ctx, leaseScanPeriod, func() {
 			if d.config.watching() || d.config.current() == nil {
--- a/snipedaemon/forwarding.go
+++ b/snipedaemon/forwarding.go
@@ -46,10 +46,12 @@
 	d.node.HandleRelay(f.forwarder.ServeRelay)
 	snipepeer.HandleCall(d.node, f.answerAttemptStatus)
 	d.callerServer = f.forwarder.Server(d.Ready)
+	d.callerServer.ErrorLog = d.serverLog()
 }
 
 // configure keeps the retry policies of services that remain.
 func (f *forwarding) configure(snapshot *snipeconfig.Snapshot) {
+	f.boundPools(snapshot)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for key := range f.policies {
@@ -59,6 +61,23 @@
 	}
 }
 
+// boundPools divides the connections of each target of the region among the
+// instances of the region.
+func (f *forwarding) boundPools(snapshot *snipeconfig.Snapshot) {
+	region := f.d.region()
+	instances := max(len(f.d.members.regionPeers(region)), 1)
+	for _, team := range snapshot.Teams() {
+		for _, s := range team.Services() {
+			t := s.Template()
+			for _, target := range s.Targets() {
+				if target.Place().Region().Name() == region {
+					f.d.pools.SetBound(target.Address().String(), t.ConnectionsPerTarget()/instances, t.ConnectCost())
+				}
+			}
+		}
+	}
+}
+
 func (f *forwarding) refuse() { f.forwarder.Refuse() }
 
 func (f *forwarding) inFlight() int { return f.forwarder.InFlight() }
@@ -204,9 +223,19 @@
 		outcome = snipeslot.OutcomeShed
 	case snipeforward.AttemptCancelled:
 	}
+	if outcome == snipeslot.OutcomeCancelled && latency > 0 {
+		// The target learns of the cancellation a little later and works until
+		// then, so that its slot is not free yet.
+		a.f.d.clock.After(cancelSettle, func(snipetime.Instant) { a.f.d.slots.finish(attemptID, outcome, latency) })
+		return
+	}
 	a.f.d.slots.finish(attemptID, outcome, latency)
 }
 
+// cancelSettle is the time in which a target notices that its caller has closed
+// the connection: several one-way delays between failure domains.
+const cancelSettle = 20 * time.Millisecond
+
 // Choose implements snipeforward.Relays.
 func (f *forwarding) Choose(region, place string) (string, bool) {
 	return f.d.planning.chooseRelay(region, place)
--- a/snipedaemon/positions.go
+++ b/snipedaemon/positions.go
@@ -44,6 +44,8 @@
 	members []string
 	held    []snipelease.Holding
 	holders []positionHolder
+	// given holds what release gave up.
+	given []snipelease.Holding
 }
 
 func newPositions(log *zap.Logger, clock timer, node *snipepeer.Node, store *snipestore.Client, self identity) *positions {
@@ -233,6 +235,9 @@
 
 // release stops the use of all positions for a planned stop.
 func (p *positions) release(now snipetime.Instant) {
+	p.mu.Lock()
+	p.given = slices.Clone(p.held)
+	p.mu.Unlock()
 	p.step(now, func(m *snipelease.Manager) []snipelease.Action {
 		m.Release(now)
 		return nil
@@ -247,6 +252,18 @@
 	})
 }
 
+// succeeded reports whether all positions that release gave up have new holders.
+func (p *positions) succeeded() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, h := range p.given {
+		if p.holders[h.Index].epoch <= h.Epoch {
+			return false
+		}
+	}
+	return true
+}
+
 func (p *positions) released() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/snipedaemon/records.go
+++ b/snipedaemon/records.go
@@ -33,6 +33,11 @@
 	// writes a second that the store takes.
 	claimsPerSecond = 10.0
 	claimBurst      = 50
+	claimPrefix     = "once/"
+	// claimSweepPeriod is the time between sweeps of expired key claims, and
+	// maxSweep bounds the deletions of one sweep.
+	claimSweepPeriod = time.Minute
+	maxSweep         = 500
 )
 
 // records runs the at-most-once records of this instance.
@@ -46,6 +51,7 @@
 	foreign *snipeonce.ForeignAttempts
 	minter  *snipeonce.Minter
 	budget  *snipeonce.ClaimBudget
+	claims  *snipeonce.ClaimSweep
 	members func() *snipemember.Snapshot
 	tokens  atomic.Uint64
 
@@ -65,6 +71,7 @@
 		foreign:    snipeonce.NewForeignAttempts(self.incarnation),
 		minter:     snipeonce.NewMinter(self.incarnation),
 		budget:     snipeonce.NewClaimBudget(claimsPerSecond, claimBurst),
+		claims:     snipeonce.NewClaimSweep(snipeonce.SweepSettings{}),
 		waiters:    make(map[snipeonce.Waiter]chan snipeonce.Result),
 		successors: make(map[string]successor),
 	}
@@ -228,6 +235,30 @@
 	}
 }
 
+// sweep deletes key claims that no request needs any more. The watchers of the
+// configuration do so; more than one sweeper is harmless.
+func (r *records) sweep(ctx context.Context) {
+	items, revision, err := r.store.List(ctx, claimPrefix)
+	if err != nil {
+		r.log.Debug("key claims not read", zap.Error(err))
+		return
+	}
+	now := r.clock.Now()
+	r.claims.Seen(revision, now)
+	deleted := 0
+	for _, item := range items {
+		if deleted == maxSweep || !r.claims.Expired(item.Version, now) {
+			continue
+		}
+		if err := r.store.Delete(ctx, item.Key, item.Version); err == nil {
+			deleted++
+		}
+	}
+	if deleted > 0 {
+		r.log.Info("key claims deleted", zap.Int("count", deleted))
+	}
+}
+
 func (r *records) writeClaim(ctx context.Context, path string, claim *snipeonce.Claim, action snipeonce.ClaimAction) snipeonce.ClaimAction {
 	value, err := action.Value.Encode()
 	if err != nil {
--- a/snipedaemon/slots.go
+++ b/snipedaemon/slots.go
@@ -97,6 +97,8 @@
 	members []snipeslot.Member
 	waiters map[string]*slotWaiter
 	renewed map[string][]sentRenewal
+	// epochs holds the newest known epoch of each group's owner.
+	epochs map[string]uint64
 }
 
 func newSlots(log *zap.Logger, clock timer, node *snipepeer.Node, self identity, probes *probes) *slots {
@@ -110,6 +112,7 @@
 		owners:   make(map[string]*slotOwner),
 		waiters:  make(map[string]*slotWaiter),
 		renewed:  make(map[string][]sentRenewal),
+		epochs:   make(map[string]uint64),
 	}
 	snipepeer.HandleSend(node, func(from snipepeer.Peer, m *snipewire.SlotAcquire) { s.handleAcquire(from, m) })
 	snipepeer.HandleSend(node, func(_ snipepeer.Peer, m *snipewire.SlotReply) { s.handleReply(replyFrom(m)) })
@@ -186,17 +189,24 @@
 	if len(s.holders) == 0 {
 		return
 	}
+	changed := false
 	for name, g := range s.groups {
 		index := snipeslot.Position(name, len(s.holders))
 		if leases != nil {
 			s.assignOwner(now, g, leases[index])
 		}
-		if epoch := s.holders[index].epoch; epoch > 0 {
+		if epoch := s.holders[index].epoch; epoch > s.epochs[name] {
+			s.epochs[name] = epoch
+			changed = true
 			for _, id := range s.holder.OwnerChanged(name, epoch) {
 				s.answer(id, slotAnswer{reason: snipeslot.ReasonLeaseLapsed})
 			}
 		}
 	}
+	if changed {
+		// A new owner grants nothing until all instances have reported to it.
+		s.sendRenewals(now)
+	}
 }
 
 func (s *slots) assignOwner(now snipetime.Instant, g groupConfig, span leaseSpan) {
@@ -326,6 +336,10 @@
 func (s *slots) renew(now snipetime.Instant) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.sendRenewals(now)
+}
+
+func (s *slots) sendRenewals(now snipetime.Instant) {
 	for _, list := range s.holder.Renewals() {
 		sent := append(s.renewed[list.Group], sentRenewal{at: now, list: list})
 		s.renewed[list.Group] = sent[max(0, len(sent)-pendingRenewals):]
--- a/snipedaemon/stop.go
+++ b/snipedaemon/stop.go
@@ -37,9 +37,28 @@
 	releaseCtx, cancelRelease := context.WithTimeout(ctx, releaseTimeout)
 	defer cancelRelease()
 	d.waitFor(releaseCtx, "positions", d.positions.released)
+	d.reportToSuccessors(ctx)
 	d.log.Info("stop complete")
 }
 
+// reportToSuccessors tells the new owners of the slot groups that nothing runs
+// here. Without the report they would grant nothing until every grant of this
+// instance must have ended, which takes 5 s.
+func (d *Daemon) reportToSuccessors(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, successorTimeout)
+	defer cancel()
+	d.waitFor(ctx, "new holders of positions", d.positions.succeeded)
+	d.slots.renew(d.clock.Now())
+	sleep(ctx, reportTime)
+}
+
+const (
+	// successorTimeout bounds the wait for new holders of the positions.
+	successorTimeout = 3 * time.Second
+	// reportTime lets the last reports leave and be answered.
+	reportTime = 200 * time.Millisecond
+)
+
 // releaseTimeout bounds the wait for the store when positions are released. A
 // position that is not released lapses.
 const releaseTimeout = 3 * time.Second
