--- /dev/null
+++ b/snipetarget/bound_test.go
@@ -0,0 +1,122 @@
+package snipetarget
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+)
+
+// countingDialer counts the connections that are open at once.
+type countingDialer struct {
+	mu         sync.Mutex
+	open, most int
+	opened     []time.Time
+}
+
+type countedConn struct {
+	net.Conn
+	closed func()
+}
+
+func (c countedConn) Close() error {
+	c.closed()
+	return c.Conn.Close()
+}
+
+func (d *countingDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	d.mu.Lock()
+	d.open++
+	d.most = max(d.most, d.open)
+	d.opened = append(d.opened, time.Now())
+	d.mu.Unlock()
+	c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	return countedConn{c, sync.OnceFunc(func() {
+		d.mu.Lock()
+		d.open--
+		d.mu.Unlock()
+	})}, err
+}
+
+// Guards against more connections to a target, or faster dials, than its bound
+// permits, also after the bound was lowered and raised under load.
+func TestSetBound(t *testing.T) {
+	noLeaks(t)
+	arrived, release := make(chan struct{}, 100), make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		arrived <- struct{}{}
+		<-release
+	}))
+	defer server.Close()
+	target := server.Listener.Addr().String()
+	dialer := &countingDialer{}
+	pools := New(Settings{MaxConns: 4}, dialer)
+	defer pools.Close()
+	const cost = 3 * time.Millisecond
+	load := func(conns int) {
+		t.Helper()
+		dialer.mu.Lock()
+		dialer.most, dialer.opened = dialer.open, nil
+		dialer.mu.Unlock()
+		var wg sync.WaitGroup
+		const attempts = 10
+		for range attempts {
+			wg.Go(func() {
+				resp, err := pools.Attempt(testContext(t), Request{Target: target, Method: "GET", URI: "/"})
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				_ = resp.Body.Close()
+			})
+		}
+		for range conns {
+			<-arrived
+		}
+		// All permitted connections are in use; only time can show that no
+		// other one is opened.
+		select {
+		case <-arrived:
+			t.Errorf("more than %d connections", conns)
+		case <-time.After(10 * cost):
+		}
+		for range attempts {
+			release <- struct{}{}
+		}
+		wg.Wait()
+		for range len(arrived) {
+			<-arrived
+		}
+		dialer.mu.Lock()
+		defer dialer.mu.Unlock()
+		if dialer.most != conns {
+			t.Errorf("%d connections at once, want %d", dialer.most, conns)
+		}
+		if n := len(dialer.opened); conns > 1 && dialer.opened[n-1].Sub(dialer.opened[0]) < time.Duration(n-2)*cost {
+			t.Errorf("%d dials within %v", n, dialer.opened[n-1].Sub(dialer.opened[0]))
+		}
+	}
+	pools.SetBound(target, 2, cost)
+	load(2)
+	pools.SetBound(target, 6, cost)
+	load(6)
+	pools.SetBound(target, 0, cost)
+	load(1)
+	pools.Forget(target)
+	pools.SetBound("other", 1, cost)
+	pools.SetBound(target, 3, cost)
+	load(3)
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	full := newPermits(1)
+	if err := full.acquire(t.Context()); err != nil || !full.full() {
+		t.Error(err)
+	}
+	if err := full.acquire(ended); !errors.Is(err, context.Canceled) {
+		t.Errorf("a second permit: %v", err)
+	}
+}
