--- a/snipeforward/fidelity_test.go
+++ b/snipeforward/fidelity_test.go
@@ -296,3 +296,18 @@
 		t.Errorf("%d executions", ran)
 	}
 }
+
+// Guards against a refusal by the records that does not say when to try again.
+func TestStoppingOnceHasRetryAfter(t *testing.T) {
+	a, _ := newFleet(t, localPlan)
+	a.table.Close(a.clock.Now())
+	resp, err := a.send(t.Context(), "POST", "once/x", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	h := resp.Header
+	if h.Get("Retry-After") != "1" || h.Get(headerReason) != reasonStopping || h.Get(headerOutcome) != outcomeNotRun {
+		t.Errorf("refused with %v", h)
+	}
+}
--- a/snipeforward/sink.go
+++ b/snipeforward/sink.go
@@ -192,7 +192,11 @@
 func replay(s sink, result snipeonce.Result) {
 	switch {
 	case result.Outcome != snipeonce.OutcomeDone:
-		s.Refuse(end{outcome: result.Outcome.String(), reason: string(result.Reason)})
+		e := end{outcome: result.Outcome.String(), reason: string(result.Reason)}
+		if result.Reason == snipeonce.ReasonStopping || result.Reason == snipeonce.ReasonRecordsFull {
+			e.retryAfter = time.Second
+		}
+		s.Refuse(e)
 	case result.Answer == nil:
 		s.Refuse(end{
 			outcome: outcomeDone, reason: "answerNotKept",
