--- a/snipedaemon/records.go
+++ b/snipedaemon/records.go
@@ -46,17 +46,18 @@
 	foreign *snipeonce.ForeignAttempts
 	minter  *snipeonce.Minter
 	budget  *snipeonce.ClaimBudget
-	leases  *snipeonce.ClaimLeases
 	members func() *snipemember.Snapshot
 	tokens  atomic.Uint64
 
 	mu      sync.Mutex
 	waiters map[snipeonce.Waiter]chan snipeonce.Result
-	// successors maps a closed incarnation to the peer address of the instance
-	// that answers for it.
-	successors map[string]string
+	// successors maps a closed incarnation to the instance that answers for it.
+	successors map[string]successor
 }
 
+// successor is the instance that took the records of a closed one over.
+type successor struct{ address, incarnation string }
+
 func newRecords(log *zap.Logger, clock timer, node *snipepeer.Node, store *snipestore.Client, self identity, maxBytes int, members func() *snipemember.Snapshot) *records {
 	r := &records{
 		log: log, clock: clock, node: node, store: store, self: self, members: members,
@@ -64,9 +65,8 @@
 		foreign:    snipeonce.NewForeignAttempts(self.incarnation),
 		minter:     snipeonce.NewMinter(self.incarnation),
 		budget:     snipeonce.NewClaimBudget(claimsPerSecond, claimBurst),
-		leases:     snipeonce.NewClaimLeases(0),
 		waiters:    make(map[snipeonce.Waiter]chan snipeonce.Result),
-		successors: make(map[string]string),
+		successors: make(map[string]successor),
 	}
 	snipepeer.HandleCall(node, func(_ context.Context, _ snipepeer.Peer, q *snipewire.RecordStatus) (*snipewire.RecordStatusReply, error) {
 		return r.answerStatus(q)
@@ -77,7 +77,7 @@
 	snipepeer.HandleSend(node, func(_ snipepeer.Peer, m *snipewire.SuccessorNotice) {
 		r.table.Notice(m.GetIncarnation(), m.GetSuccessorIncarnation(), r.clock.Now())
 		r.mu.Lock()
-		r.successors[m.GetIncarnation()] = m.GetSuccessorAddress()
+		r.successors[m.GetIncarnation()] = successor{m.GetSuccessorAddress(), m.GetSuccessorIncarnation()}
 		r.mu.Unlock()
 	})
 	return r
@@ -128,31 +128,29 @@
 		r.wake(lapse.Waiters, snipeonce.Result{Outcome: snipeonce.OutcomeUnknown, Reason: snipeonce.ReasonDeadline})
 	}
 	r.foreign.Tick(now)
-	if r.leases.Due(now) {
-		go r.openClaimLease(now)
-	}
 }
 
-// openClaimLease opens the store lease under which key claims are written next.
-func (r *records) openClaimLease(sent snipetime.Instant) {
-	ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
-	defer cancel()
-	lease, err := r.store.Grant(ctx, r.leases.TTL())
-	if err != nil {
-		r.log.Debug("no lease for key claims", zap.Error(err))
-		return
+// lastSuccessor follows the successors of an incarnation. A successor that stops
+// hands on what it has taken over.
+func (r *records) lastSuccessor(incarnation string) (last successor, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	// The bound is for notices that name each other.
+	for range len(r.successors) {
+		next, found := r.successors[incarnation]
+		if !found {
+			break
+		}
+		last, ok, incarnation = next, true, next.incarnation
 	}
-	r.leases.Opened(lease, sent)
+	return last, ok
 }
 
 // peerOf returns the peer address of the process that answers for an
 // incarnation.
 func (r *records) peerOf(incarnation string) (string, bool) {
-	r.mu.Lock()
-	successor, ok := r.successors[incarnation]
-	r.mu.Unlock()
-	if ok {
-		return successor, true
+	if s, ok := r.lastSuccessor(incarnation); ok {
+		return s.address, true
 	}
 	for _, m := range r.members().Members() {
 		if m.Incarnation == incarnation && m.State != snipemember.Gone {
@@ -201,20 +199,20 @@
 // claim claims an idempotency key for a request that has begun. It returns the
 // request that owns the key if that is another one, or a refusal.
 func (r *records) claim(ctx context.Context, team, service, key string, id snipeonce.RequestID, deadline snipetime.Instant) (other snipeonce.RequestID, join bool, refused *snipeonce.Result) {
-	lease, ok := r.leases.For(deadline)
-	if !ok {
-		return other, false, &snipeonce.Result{Outcome: snipeonce.OutcomeNotRun, Reason: snipeonce.ReasonClaimStoreUnavailable}
-	}
 	if !r.budget.Allow(r.clock.Now()) {
 		return other, false, &snipeonce.Result{Outcome: snipeonce.OutcomeNotRun, Reason: snipeonce.ReasonClaimBudget}
 	}
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	path := snipeonce.ClaimPath(team, service, key)
-	claim, action := snipeonce.NewClaim(id, snipestore.NewOperation(), lease)
+	claim, action := snipeonce.NewClaim(id, snipestore.NewOperation())
 	for {
 		switch action.Step {
 		case snipeonce.ClaimHeld:
+			// A sweep may delete the claim some time after the deadline.
+			if !deadline.After(r.clock.Now()) {
+				return other, false, &snipeonce.Result{Outcome: snipeonce.OutcomeNotRun, Reason: snipeonce.ReasonDeadline}
+			}
 			return other, false, nil
 		case snipeonce.ClaimJoin:
 			return action.Other, true, nil
@@ -240,13 +238,10 @@
 	if action.Step == snipeonce.ClaimReplace {
 		version = action.Version
 	}
-	_, err = r.store.Put(ctx, path, value, version, action.Lease)
+	_, err = r.store.Put(ctx, path, value, version, "")
 	switch {
 	case err == nil:
 		return claim.Written()
-	case errors.Is(err, snipestore.ErrLeaseExpired):
-		r.leases.Expired(action.Lease)
-		return claim.Unavailable()
 	case errors.Is(err, snipestore.ErrConflict):
 		return claim.Conflict()
 	case errors.Is(err, snipestore.ErrUnclear):
