Pass positions on before requests in flight end in a planned stop

Cause: a stopping instance stopped serving the slots of its positions 5 s after the stop began, but freed the positions only after its last request had ended. A request in flight in one of these groups had no owner to renew its grant and was cancelled about 5 s later.

Change: wait for loans and free the positions first, then wait for requests.

--- a/snipedaemon/stop.go
+++ b/snipedaemon/stop.go
@@ -30,10 +30,13 @@
 	now := d.clock.Now()
 	d.limits.returnAll(now)
 	d.positions.release(now)
-	d.waitFor(ctx, "requests", func() bool { return d.forward.inFlight() == 0 && d.slots.running() == 0 })
-	d.records.update(ctx, successor)
+	// Requests in flight need an owner of their slots, so that positions are
+	// passed on before these requests end: without a new owner their grants
+	// lapse after the time to live of 5 s and they are cancelled.
 	d.waitFor(ctx, "loans", func() bool { return !d.limits.loansEnd(d.clock.Now()).After(d.clock.Now()) })
 	d.positions.loansEnded(d.clock.Now())
+	d.waitFor(ctx, "requests", func() bool { return d.forward.inFlight() == 0 && d.slots.running() == 0 })
+	d.records.update(ctx, successor)
 	releaseCtx, cancelRelease := context.WithTimeout(ctx, releaseTimeout)
 	defer cancelRelease()
 	d.waitFor(releaseCtx, "positions", d.positions.released)
