--- a/snipescenario/script_test.go
+++ b/snipescenario/script_test.go
@@ -64,7 +64,7 @@
 		"hold": cmdHold, "held": cmdHeld, "release": cmdRelease, "signal": cmdSignal, "exited": cmdExited,
 		"store": cmdStore, "cut": cmdCut, "heal": cmdHeal, "silence": cmdSilence, "targets": cmdTargets,
 		"status": cmdStatus, "direct": cmdDirect, "swap": cmdSwap, "leave": cmdLeave, "race": cmdRace,
-		"apply": cmdApply, "drain": cmdDrain, "undrain": cmdUndrain, "expect": cmdExpect,
+		"apply": cmdApply, "drain": cmdDrain, "undrain": cmdUndrain, "expect": cmdExpect, "recover": cmdRecover,
 	}
 	cmds := map[string]func(ts *testscript.TestScript, neg bool, args []string){}
 	for name, f := range commands {
