--- /dev/null
+++ b/snipelease/size_test.go
@@ -0,0 +1,94 @@
+package snipelease
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/snipemoor/snipemoor/snipetime"
+)
+
+// BenchmarkStoreCalls measures the store calls per second of one region in
+// steady state, by positions and by members. The store answers at once.
+func BenchmarkStoreCalls(b *testing.B) {
+	const warmUp, measured = time.Minute, 5 * time.Minute
+	for _, size := range []struct{ positions, members int }{
+		{4, 12}, {4, 77}, {8, 77}, {12, 12}, {12, 36}, {12, 77},
+	} {
+		b.Run(fmt.Sprintf("positions=%d/members=%d", size.positions, size.members), func(b *testing.B) {
+			for b.Loop() {
+				r := newQuietRegion(size.positions, size.members)
+				r.run(0, warmUp)
+				r.reads, r.writes, r.conflicts, r.changes = 0, 0, 0, 0
+				r.run(warmUp, warmUp+measured)
+				b.ReportMetric(float64(r.reads)/measured.Seconds(), "reads/s")
+				b.ReportMetric(float64(r.writes)/measured.Seconds(), "writes/s")
+				b.ReportMetric(float64(r.conflicts)/measured.Seconds(), "conflicts/s")
+				b.ReportMetric(float64(r.changes)/measured.Seconds(), "changes/s")
+			}
+		})
+	}
+}
+
+// quietRegion is a region without faults.
+type quietRegion struct {
+	managers      map[string]*Manager
+	addresses     []string
+	store         []StoreResult
+	version       uint64
+	reads, writes int
+	conflicts     int
+	holders       map[int]string
+	changes       int
+}
+
+func newQuietRegion(positions, members int) *quietRegion {
+	r := &quietRegion{managers: make(map[string]*Manager), holders: make(map[int]string), store: make([]StoreResult, positions)}
+	for i := range members {
+		r.addresses = append(r.addresses, fmt.Sprintf("10.0.0.%d:7", i))
+	}
+	for i, a := range r.addresses {
+		m := New(Config{Address: a, Incarnation: fmt.Sprint("inc", i), Positions: positions, Seed: uint64(i)}, 0)
+		m.SetMembers(0, r.addresses)
+		r.managers[a] = m
+	}
+	return r
+}
+
+func (r *quietRegion) run(from, until time.Duration) {
+	for at := from; at < until; at += 200 * time.Millisecond {
+		now := snipetime.Instant(at)
+		for _, a := range r.addresses {
+			r.do(now, a, r.managers[a].Tick(now))
+		}
+	}
+}
+
+func (r *quietRegion) do(now snipetime.Instant, from string, actions []Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case Send:
+			r.do(now, a.To, r.managers[a.To].Receive(now, from, a.Message))
+		case ReadRecord:
+			r.reads++
+			result := r.store[a.Index]
+			result.RequestID, result.Outcome, result.Revision = a.RequestID, OutcomeRead, r.version
+			r.do(now, from, r.managers[from].StoreResult(now, result))
+		case WriteRecord:
+			r.writes++
+			result := StoreResult{RequestID: a.RequestID, Outcome: OutcomeConflict}
+			if r.store[a.Index].Version != a.IfVersion {
+				r.conflicts++
+			} else if r.holders[a.Index] != a.Record.Address {
+				r.holders[a.Index] = a.Record.Address
+				r.changes++
+			}
+			if r.store[a.Index].Version == a.IfVersion {
+				r.version++
+				r.store[a.Index] = StoreResult{Record: a.Record, Version: r.version}
+				result.Outcome, result.Version = OutcomeWritten, r.version
+			}
+			r.do(now, from, r.managers[from].StoreResult(now, result))
+		}
+	}
+}
--- a/snipelookup/blocks_test.go
+++ b/snipelookup/blocks_test.go
@@ -176,7 +176,7 @@
 
 func BenchmarkBuild(b *testing.B) {
 	for _, order := range []string{"sorted", "random"} {
-		for _, n := range []int{34_000, 3_400_000} {
+		for _, n := range []int{34_000, 340_000, 3_400_000} {
 			b.Run(order+"/"+sizeName(n), func(b *testing.B) {
 				blocks := fullSize(n)
 				if order == "sorted" {
@@ -194,7 +194,7 @@
 }
 
 func BenchmarkBlockTableLookup(b *testing.B) {
-	for _, n := range []int{34_000, 3_400_000} {
+	for _, n := range []int{34_000, 340_000, 3_400_000} {
 		b.Run(sizeName(n), func(b *testing.B) {
 			blocks := fullSize(n)
 			table := build(b, blocks)
--- a/snipelookup/entries_test.go
+++ b/snipelookup/entries_test.go
@@ -96,7 +96,7 @@
 func BenchmarkDecide(b *testing.B) {
 	blocks := fullSize(100_000)
 	table := build(b, blocks)
-	for _, n := range []int{12, 460} {
+	for _, n := range []int{12, 120, 460} {
 		b.Run(sizeName(n), func(b *testing.B) {
 			ps, ins := fleet(n, 140)
 			var l snipelookup.Lookup
--- a/snipemember/member_test.go
+++ b/snipemember/member_test.go
@@ -157,7 +157,7 @@
 }
 
 func BenchmarkSnapshotFind(b *testing.B) {
-	for _, n := range []int{12, 460} {
+	for _, n := range []int{12, 120, 460} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			v := bigView(0, n)
 			address := newsOf(n/2, 18, "", 0).Address
@@ -170,7 +170,7 @@
 }
 
 func BenchmarkSteady(b *testing.B) {
-	for _, n := range []int{12, 460} {
+	for _, n := range []int{12, 120, 460} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			v := bigView(0, n)
 			address := newsOf(1, 18, "", 0).Address
--- a/snipeonce/once_test.go
+++ b/snipeonce/once_test.go
@@ -69,7 +69,7 @@
 }
 
 func BenchmarkBeginFinish(b *testing.B) {
-	for _, n := range []int{100, 10_000} {
+	for _, n := range []int{100, 1_000, 10_000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			table := NewTable("a", Settings{MaxBytes: 1 << 40})
 			id := RequestID{Incarnation: "a", Minter: "a"}
--- a/sniperoute/herd_test.go
+++ b/sniperoute/herd_test.go
@@ -152,7 +152,7 @@
 }
 
 func BenchmarkPlan(b *testing.B) {
-	for _, instances := range []int{12, 460} {
+	for _, instances := range []int{12, 120, 460} {
 		b.Run(fmt.Sprint("instances=", instances), func(b *testing.B) {
 			const places = 140
 			p := sniperoute.NewPlanner(sniperoute.PlannerSettings{}, "r0", seeded(1))
@@ -197,7 +197,7 @@
 }
 
 func BenchmarkChoose(b *testing.B) {
-	for _, targets := range []int{4, 16} {
+	for _, targets := range []int{4, 8, 16} {
 		b.Run(fmt.Sprint("targets=", targets), func(b *testing.B) {
 			c := sniperoute.NewChooser(sniperoute.ChooserSettings{}, seeded(1))
 			var addresses []string
--- a/snipeslot/owner_test.go
+++ b/snipeslot/owner_test.go
@@ -302,7 +302,7 @@
 }
 
 func BenchmarkAcquireRelease(b *testing.B) {
-	for _, n := range []int{4, 16} {
+	for _, n := range []int{4, 8, 16} {
 		b.Run(fmt.Sprint("targets=", n), func(b *testing.B) {
 			var targets []Target
 			for i := range n {
