--- a/snipemember/size_test.go
+++ b/snipemember/size_test.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"runtime"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/snipemoor/snipemoor/snipemember"
 	"github.com/snipemoor/snipemoor/snipetime"
 )
 
@@ -76,3 +78,74 @@
 		})
 	}
 }
+
+// BenchmarkRotation measures how many members of other domains a node hears of
+// again within 4 minutes when nothing changes, by the size of the fleet, for the
+// members of one domain that hear of the fewest and of the most.
+func BenchmarkRotation(b *testing.B) {
+	const from, until = 10 * time.Minute, 14 * time.Minute
+	for _, n := range []int{36, 120, 460} {
+		b.Run(fmt.Sprint("members=", n), func(b *testing.B) {
+			for b.Loop() {
+				fewest, most, none := n, 0, 0
+				var slowest, quickest time.Duration
+				for _, heard := range rotation(n, from, until) {
+					if len(heard) == 0 {
+						none++
+					}
+					var last time.Duration
+					for _, at := range heard {
+						last = max(last, at-from)
+					}
+					if len(heard) < fewest {
+						fewest, slowest = len(heard), last
+					}
+					if len(heard) > most {
+						most, quickest = len(heard), last
+					}
+				}
+				b.ReportMetric(float64(fewest), "fewest-heard")
+				b.ReportMetric(float64(most), "most-heard")
+				b.ReportMetric(float64(none), "members-without-news")
+				b.ReportMetric(slowest.Seconds(), "fewest-last-s")
+				b.ReportMetric(quickest.Seconds(), "most-last-s")
+			}
+		})
+	}
+}
+
+// rotation returns for each member of the first domain when it hears first of
+// each member of other domains after from, by the summaries of its own domain.
+func rotation(n int, from, until time.Duration) map[string]map[string]time.Duration {
+	const domains = 18
+	var mu sync.Mutex
+	heard := make(map[string]map[string]time.Duration)
+	for i := 0; i < n; i += domains {
+		heard[newsOf(i, domains, "", 0).Address] = make(map[string]time.Duration)
+	}
+	var senders sync.WaitGroup
+	for self := 0; self < n; self += domains {
+		senders.Go(func() {
+			v := bigView(self, n)
+			peers := v.Mesh()
+			for at := time.Duration(0); at < until; at += snipemember.Period {
+				for _, p := range peers {
+					if at%p.Period != 0 {
+						continue
+					}
+					news := v.Summaries(p.Address, snipetime.Instant(0).Add(at))
+					mu.Lock()
+					by := heard[p.Address]
+					for _, s := range news {
+						if first, ok := by[s.Address]; by != nil && at >= from && (!ok || at < first) {
+							by[s.Address] = at
+						}
+					}
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	senders.Wait()
+	return heard
+}
