Let requests wait for a shift token; correct readiness, pool bounds and checks

A request now waits up to 50 ms. An instance whose place is not in the fleet document is not ready. Pool bounds follow the members of the region. reservePercent below 0.1 is rejected, because the limits take 0 as their default.

--- a/snipecli/write.go
+++ b/snipecli/write.go
@@ -32,6 +32,8 @@
 	switch {
 	case !r.Awaited:
 		return printf(w, "did not wait for the instances\n")
+	case r.Instances == 0:
+		return printf(w, "no live instance has reported\n")
 	case r.InForce:
 		return printf(w, "in force on all %d live instances\n", r.Instances)
 	}
--- a/snipeconfig/wire.go
+++ b/snipeconfig/wire.go
@@ -56,7 +56,7 @@
 	Name               string                `check:"required,name"`
 	Regions            map[string]regionWire `check:"required,names"`
 	Links              []linkWire
-	ReservePercent     *float64      `check:"min=0,max=50"`
+	ReservePercent     *float64      `check:"min=0.1,max=50"`
 	PositionsPerRegion int           `check:"required,min=1,max=64"`
 	DomainDelay        time.Duration `check:"required,max=10s"`
 	ClientDelay        time.Duration `check:"required,max=10s"`
--- a/snipedaemon/daemon.go
+++ b/snipedaemon/daemon.go
@@ -143,7 +143,7 @@
 	s := d.settings
 	d.node = snipepeer.New(snipepeer.Settings{
 		Address: d.self.peerAddress, Incarnation: d.self.incarnation, Place: d.self.place,
-		PingInterval: s.pingInterval, PingTimeout: s.pingTimeout,
+		PingInterval: s.pingInterval, PingTimeout: s.pingTimeout, HandshakeTimeout: s.connectTimeout,
 	}, peerListener, deps.Dialer, d.log)
 	d.store = snipestore.New(snipestore.Settings{
 		Addresses: addressStrings(s.store), CallTimeout: s.storeTimeout, CallsPerSecond: s.storeCalls,
@@ -197,7 +197,9 @@
 }
 
 // Ready reports whether the instance accepts calls.
-func (d *Daemon) Ready() bool { return !d.stopping.Load() && d.config.current() != nil }
+func (d *Daemon) Ready() bool {
+	return !d.stopping.Load() && d.config.current() != nil && d.region() != ""
+}
 
 // Address returns the address of the callers' interface.
 func (d *Daemon) Address() string { return d.self.address }
--- a/snipedaemon/forwarding.go
+++ b/snipedaemon/forwarding.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
@@ -32,6 +33,9 @@
 
 	mu       sync.Mutex
 	policies map[serviceKey]*lockedPolicy
+
+	// bounded holds the targets with a pool bound; only reconciliation uses it.
+	bounded map[string]bool
 }
 
 // buildForwarding creates the forwarder and the server for callers.
@@ -51,7 +55,6 @@
 
 // configure keeps the retry policies of services that remain.
 func (f *forwarding) configure(snapshot *snipeconfig.Snapshot) {
-	f.boundPools(snapshot)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for key := range f.policies {
@@ -62,20 +65,27 @@
 }
 
 // boundPools divides the connections of each target of the region among the
-// instances of the region.
-func (f *forwarding) boundPools(snapshot *snipeconfig.Snapshot) {
-	region := f.d.region()
-	instances := max(len(f.d.members.regionPeers(region)), 1)
+// instances of the region. Pools of targets that are gone are dropped.
+func (f *forwarding) boundPools(snapshot *snipeconfig.Snapshot, region string, instances int) {
+	present := make(map[string]bool)
 	for _, team := range snapshot.Teams() {
 		for _, s := range team.Services() {
 			t := s.Template()
 			for _, target := range s.Targets() {
 				if target.Place().Region().Name() == region {
-					f.d.pools.SetBound(target.Address().String(), t.ConnectionsPerTarget()/instances, t.ConnectCost())
+					address := target.Address().String()
+					present[address] = true
+					f.d.pools.SetBound(address, t.ConnectionsPerTarget()/max(instances, 1), t.ConnectCost())
 				}
 			}
 		}
 	}
+	for address := range f.bounded {
+		if !present[address] {
+			f.d.pools.Forget(address)
+		}
+	}
+	f.bounded = present
 }
 
 func (f *forwarding) refuse() { f.forwarder.Refuse() }
@@ -150,18 +160,44 @@
 	return &snipeforward.Refusal{Reason: reason, RetryAfter: wait}
 }
 
+// shiftPatience is how long a request waits for a token of a shift, while it
+// holds a slot. Without waiting, random arrivals at a small cap are refused
+// though its mean rate is free.
+const shiftPatience = 50 * time.Millisecond
+
 // AdmitShift implements snipeforward.Limits.
-func (f *forwarding) AdmitShift(s snipeforward.Service, bits float64) *snipeforward.Refusal {
-	if wait, err := f.d.limits.spend(shiftBitsID(s.Team, s.Name), bits); err != nil {
+func (f *forwarding) AdmitShift(ctx context.Context, s snipeforward.Service, bits float64) *snipeforward.Refusal {
+	requests, err := f.d.limits.bucket(shiftRequestsID(s.Team, s.Name))
+	if err != nil {
+		return limitRefusal(err, "shiftCap", time.Second)
+	}
+	if wait, err := f.await(ctx, requests); err != nil {
 		return limitRefusal(err, "shiftCap", wait)
 	}
-	if wait, err := f.d.limits.spend(shiftRequestsID(s.Team, s.Name), 1); err != nil {
-		f.CorrectShift(s, -bits)
+	if wait, err := f.d.limits.spend(shiftBitsID(s.Team, s.Name), bits); err != nil {
+		requests.Correct(f.d.clock.Now(), -1)
 		return limitRefusal(err, "shiftCap", wait)
 	}
 	return nil
 }
 
+// await takes one token of a bucket, in the order of arrival.
+func (f *forwarding) await(ctx context.Context, b *snipelimit.Bucket) (time.Duration, error) {
+	reservation, wait, err := b.Reserve(f.d.clock.Now(), 1, shiftPatience)
+	for err == nil && reservation != nil && wait > 0 {
+		sleep(ctx, wait)
+		if ctx.Err() != nil {
+			reservation.Cancel()
+			return 0, fmt.Errorf("wait for a token: %w", ctx.Err())
+		}
+		wait, err = reservation.Spend(f.d.clock.Now())
+	}
+	if err != nil {
+		return wait, fmt.Errorf("take a token: %w", err)
+	}
+	return 0, nil
+}
+
 // CorrectShift implements snipeforward.Limits.
 func (f *forwarding) CorrectShift(s snipeforward.Service, difference float64) {
 	if b, err := f.d.limits.bucket(shiftBitsID(s.Team, s.Name)); err == nil {
--- a/snipedaemon/reconcile.go
+++ b/snipedaemon/reconcile.go
@@ -8,6 +8,7 @@
 
 	"github.com/snipemoor/snipemoor/snipeconfig"
 	"github.com/snipemoor/snipemoor/snipelimit"
+	"github.com/snipemoor/snipemoor/snipelookup"
 	"github.com/snipemoor/snipemoor/snipemember"
 	"github.com/snipemoor/snipemoor/snipepeer"
 	"github.com/snipemoor/snipemoor/snipeslot"
@@ -87,10 +88,24 @@
 	d.slots.configure(now, groupsOf(snapshot, region))
 	d.forward.configure(snapshot)
 	d.applyPositions(now)
+	d.checkStopTimeout(snapshot)
 	d.log.Info("configuration in force", zap.Uint64("generation", snapshot.Generation()),
 		zap.String("operation", snapshot.Operation()))
 }
 
+// checkStopTimeout warns of services whose requests can outlast a planned stop.
+func (d *Daemon) checkStopTimeout(snapshot *snipeconfig.Snapshot) {
+	for _, team := range snapshot.Teams() {
+		for _, s := range team.Services() {
+			if longest := s.Template().MaxTimeout() + snipelookup.TimeToLive; longest > d.settings.stopTimeout {
+				d.log.Warn("a planned stop can cut requests, because stopTimeout is below maxTimeout and the callers' cache time",
+					zap.String("service", team.Name()+"/"+s.Name()), zap.Duration("stopTimeout", d.settings.stopTimeout),
+					zap.Duration("needed", longest))
+			}
+		}
+	}
+}
+
 // applyMembers passes the members to the parts that depend on them.
 func (d *Daemon) applyMembers(now snipetime.Instant, snapshot *snipeconfig.Snapshot, region string) {
 	all := d.members.view.Snapshot().Members()
@@ -108,6 +123,7 @@
 	d.positions.setMembers(now, live)
 	d.slots.setMembers(now, holders)
 	d.limits.setPeers(d.lenders(all, region))
+	d.forward.boundPools(snapshot, region, len(peers))
 	d.planning.setRelays(all, region)
 	if err := d.planning.configure(snapshot, region, all); err != nil {
 		d.log.Error("places cannot be planned", zap.Error(err))
--- a/snipedaemon/records.go
+++ b/snipedaemon/records.go
@@ -38,6 +38,8 @@
 	// maxSweep bounds the deletions of one sweep.
 	claimSweepPeriod = time.Minute
 	maxSweep         = 500
+	// longestDeadline is the largest maxTimeout that a template can have.
+	longestDeadline = time.Hour
 )
 
 // records runs the at-most-once records of this instance.
@@ -71,7 +73,7 @@
 		foreign:    snipeonce.NewForeignAttempts(self.incarnation),
 		minter:     snipeonce.NewMinter(self.incarnation),
 		budget:     snipeonce.NewClaimBudget(claimsPerSecond, claimBurst),
-		claims:     snipeonce.NewClaimSweep(snipeonce.SweepSettings{}),
+		claims:     snipeonce.NewClaimSweep(snipeonce.SweepSettings{LongestDeadline: longestDeadline}),
 		waiters:    make(map[snipeonce.Waiter]chan snipeonce.Result),
 		successors: make(map[string]successor),
 	}
--- a/snipeforward/attempt.go
+++ b/snipeforward/attempt.go
@@ -104,12 +104,12 @@
 
 // shift spends the tokens of a request that is served away from home. The
 // returned function charges what was really transferred.
-func (f *Forwarder) shift(q *request, place Place) (settle func(bits float64), refusal *Refusal) {
+func (f *Forwarder) shift(ctx context.Context, q *request, place Place) (settle func(bits float64), refusal *Refusal) {
 	if !place.NeedsShift {
 		return func(float64) {}, nil
 	}
 	sent, received := estimate(q)
-	if refusal := f.deps.Limits.AdmitShift(q.service, sent+received); refusal != nil {
+	if refusal := f.deps.Limits.AdmitShift(ctx, q.service, sent+received); refusal != nil {
 		return nil, refusal
 	}
 	return func(bits float64) { f.deps.Limits.CorrectShift(q.service, bits-sent-received) }, nil
--- a/snipeforward/local.go
+++ b/snipeforward/local.go
@@ -35,7 +35,7 @@
 		slot.released.Store(true)
 		return nil, refusedAttempt(refusal)
 	}
-	settle, refusal := f.shift(q, place)
+	settle, refusal := f.shift(ctx, q, place)
 	if refusal != nil {
 		return nil, refusedAttempt(refusal)
 	}
--- a/snipeforward/remote.go
+++ b/snipeforward/remote.go
@@ -22,7 +22,7 @@
 	if refusal := f.deps.Limits.AdmitLink(place.Region, sent); refusal != nil {
 		return nil, refusedAttempt(refusal)
 	}
-	settle, refusal := f.shift(q, place)
+	settle, refusal := f.shift(ctx, q, place)
 	if refusal != nil {
 		return nil, refusedAttempt(refusal)
 	}
--- a/snipeforward/support_test.go
+++ b/snipeforward/support_test.go
@@ -193,7 +193,7 @@
 	return append(buffer, i.plan...)
 }
 
-func (i *instance) AdmitShift(_ Service, bits float64) *Refusal {
+func (i *instance) AdmitShift(_ context.Context, _ Service, bits float64) *Refusal {
 	if i.panicAt == "shift" {
 		panic("injected")
 	}
--- a/snipeforward/types.go
+++ b/snipeforward/types.go
@@ -66,8 +66,8 @@
 // Limits spends tokens of shifts and links.
 type Limits interface {
 	// AdmitShift takes one request and an estimate of its bits from the caps of
-	// the service's shift.
-	AdmitShift(s Service, bits float64) *Refusal
+	// the service's shift. It can wait for a moment.
+	AdmitShift(ctx context.Context, s Service, bits float64) *Refusal
 	// CorrectShift charges the difference to the estimate.
 	CorrectShift(s Service, difference float64)
 	// AdmitLink reports whether bits can be sent to a region soon.
