Read a position record again before a claim

Cause: an instance without positions reads rarely, so that its copy of a record is up to 40 s old and looks lapsed although the holder renews; it then wrote a claim that failed. Ruled out: races of claimants, because the holders were not challenged by consent requests. Change: a claim needs a copy read in the last second. Conclusion: kept; the store load by positions no longer grows with the members except for reads.

--- a/snipelease/manager.go
+++ b/snipelease/manager.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"github.com/snipemoor/snipemoor/snipetime"
 )
@@ -34,6 +35,8 @@
 	version uint64
 	// readSent is when the read or write that showed record was sent.
 	readSent snipetime.Instant
+	// recheckAt is when the record may be read again before a claim.
+	recheckAt snipetime.Instant
 	// versionSeen is when this version was first seen.
 	versionSeen snipetime.Instant
 	nextRead    snipetime.Instant
@@ -223,7 +226,11 @@
 	return actions
 }
 
-// nextWrite returns the write that position i needs now.
+// freshRead is the age up to which a copy of a record may lead to a claim.
+const freshRead = time.Second
+
+// nextWrite returns the write that position i needs now, or the read that must
+// precede it.
 func (m *Manager) nextWrite(i int, now snipetime.Instant) (Action, bool) {
 	p := &m.positions[i]
 	mine := p.record.Address == m.cfg.Address
@@ -263,6 +270,15 @@
 		p.inherited = false
 		return m.write(i, now, callClaim, next), true
 	case m.lapsed(i, now):
+		if now.Sub(p.readSent) > freshRead {
+			// An instance without positions reads rarely, so that its copy can be
+			// old although the holder renews.
+			if now.Before(p.recheckAt) {
+				return nil, false
+			}
+			p.recheckAt = now.Add(freshRead / 2)
+			return m.read(i, now), true
+		}
 		pending := p.record
 		epoch := max(p.record.Epoch, p.record.Pending.Epoch) + 1
 		pending.Pending = Claim{Address: m.cfg.Address, Incarnation: m.cfg.Incarnation, Epoch: epoch}
