--- a/snipedaemon/stop.go
+++ b/snipedaemon/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -48,6 +49,9 @@
 // here. Without the report they would grant nothing until every grant of this
 // instance must have ended, which takes 5 s.
 func (d *Daemon) reportToSuccessors(ctx context.Context) {
+	if !d.hasRegionalPeer() {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, successorTimeout)
 	defer cancel()
 	d.waitFor(ctx, "new holders of positions", d.positions.succeeded)
@@ -55,6 +59,13 @@
 	sleep(ctx, reportTime)
 }
 
+// hasRegionalPeer reports whether a live member of the region can take the
+// positions.
+func (d *Daemon) hasRegionalPeer() bool {
+	region := d.region()
+	return slices.ContainsFunc(d.successors(), func(m snipemember.Member) bool { return m.Region == region })
+}
+
 const (
 	// successorTimeout bounds the wait for new holders of the positions.
 	successorTimeout = 3 * time.Second
