--- /dev/null
+++ b/snipedaemon/forwardlimits.go
@@ -0,0 +1,86 @@
+package snipedaemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/snipemoor/snipemoor/snipeforward"
+	"github.com/snipemoor/snipemoor/snipelimit"
+)
+
+// limitRefusal maps an error of the limits to a refusal.
+func limitRefusal(err error, capReached string, wait time.Duration) *snipeforward.Refusal {
+	reason := capReached
+	if errors.Is(err, snipelimit.ErrLeaseLapsed) {
+		reason = "limitLeaseLapsed"
+	}
+	return &snipeforward.Refusal{Reason: reason, RetryAfter: wait}
+}
+
+// shiftPatience is how long a request waits for a token of a shift, while it
+// holds a slot. Without waiting, random arrivals at a small cap are refused
+// though its mean rate is free.
+const shiftPatience = 50 * time.Millisecond
+
+// AdmitShift implements snipeforward.Limits.
+func (f *forwarding) AdmitShift(ctx context.Context, s snipeforward.Service, bits float64) *snipeforward.Refusal {
+	requests, err := f.d.limits.bucket(shiftRequestsID(s.Team, s.Name))
+	if err != nil {
+		return limitRefusal(err, "shiftCap", time.Second)
+	}
+	if wait, err := f.await(ctx, requests); err != nil {
+		return limitRefusal(err, "shiftCap", wait)
+	}
+	if wait, err := f.d.limits.spend(shiftBitsID(s.Team, s.Name), bits); err != nil {
+		requests.Correct(f.d.clock.Now(), -1)
+		return limitRefusal(err, "shiftCap", wait)
+	}
+	return nil
+}
+
+// await takes one token of a bucket, in the order of arrival.
+func (f *forwarding) await(ctx context.Context, b *snipelimit.Bucket) (time.Duration, error) {
+	reservation, wait, err := b.Reserve(f.d.clock.Now(), 1, shiftPatience)
+	for err == nil && reservation != nil && wait > 0 {
+		sleep(ctx, wait)
+		if ctx.Err() != nil {
+			reservation.Cancel()
+			return 0, fmt.Errorf("wait for a token: %w", ctx.Err())
+		}
+		wait, err = reservation.Spend(f.d.clock.Now())
+	}
+	if err != nil {
+		return wait, fmt.Errorf("take a token: %w", err)
+	}
+	return 0, nil
+}
+
+// CorrectShift implements snipeforward.Limits.
+func (f *forwarding) CorrectShift(s snipeforward.Service, difference float64) {
+	if b, err := f.d.limits.bucket(shiftBitsID(s.Team, s.Name)); err == nil {
+		b.Correct(f.d.clock.Now(), difference)
+	}
+}
+
+// maxLinkWait is the longest expected wait for link tokens with which a request
+// is still relayed.
+const maxLinkWait = 200 * time.Millisecond
+
+// AdmitLink implements snipeforward.Limits.
+func (f *forwarding) AdmitLink(region string, bits float64) *snipeforward.Refusal {
+	b, err := f.d.limits.bucket(linkID(f.d.region(), region))
+	if err != nil {
+		return limitRefusal(err, "linkCap", time.Second)
+	}
+	if wait := b.Wait(f.d.clock.Now(), bits); wait > maxLinkWait {
+		return &snipeforward.Refusal{Reason: "linkCap", RetryAfter: wait}
+	}
+	return nil
+}
+
+// PaceLink implements snipeforward.Limits.
+func (f *forwarding) PaceLink(ctx context.Context, region string, bits float64) error {
+	return f.d.limits.pace(ctx, linkID(f.d.region(), region), bits)
+}
--- /dev/null
+++ b/snipedaemon/forwardslots.go
@@ -0,0 +1,56 @@
+package snipedaemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/snipemoor/snipemoor/snipeforward"
+	"github.com/snipemoor/snipemoor/snipeslot"
+	"github.com/snipemoor/snipemoor/snipetime"
+)
+
+// slotAdapter implements snipeforward.Slots.
+type slotAdapter struct{ f *forwarding }
+
+// Acquire implements snipeforward.Slots.
+func (a slotAdapter) Acquire(ctx context.Context, r snipeforward.SlotRequest) (string, *snipeforward.Refusal) {
+	group, ok := a.f.d.planning.group(r.Service.Team, r.Service.Name, r.Place)
+	if !ok {
+		return "", &snipeforward.Refusal{Reason: "noTarget"}
+	}
+	target, refusal := a.f.d.slots.acquire(ctx, slotRequest{
+		group: group, attemptID: r.AttemptID, budget: r.Budget, maxWait: r.MaxWait,
+		excluded: r.Excluded, hedge: r.Hedge, revoke: r.Revoke,
+	})
+	if refusal != nil {
+		return "", &snipeforward.Refusal{Reason: string(refusal.reason), RetryAfter: refusal.retryAfter}
+	}
+	return target, nil
+}
+
+// Release implements snipeforward.Slots.
+func (a slotAdapter) Release(attemptID string, result snipeforward.AttemptResult, latency time.Duration) {
+	outcome := snipeslot.OutcomeCancelled
+	switch result {
+	case snipeforward.AttemptDone:
+		outcome = snipeslot.OutcomeDone
+	case snipeforward.AttemptFailed:
+		outcome = snipeslot.OutcomeFailed
+	case snipeforward.AttemptDialFailed:
+		outcome = snipeslot.OutcomeDialFailed
+	case snipeforward.AttemptShed:
+		outcome = snipeslot.OutcomeShed
+	case snipeforward.AttemptCancelled:
+	}
+	if outcome == snipeslot.OutcomeCancelled && latency > 0 {
+		// The target learns of the cancellation a little later and works until
+		// then, so that its slot is not free yet.
+		a.f.d.clock.After(cancelSettle, func(snipetime.Instant) { a.f.d.slots.finish(attemptID, outcome, latency) })
+		return
+	}
+	a.f.d.slots.finish(attemptID, outcome, latency)
+}
+
+// cancelSettle is the time in which a target notices that its caller has closed
+// the connection: several one-way delays between failure domains.
+const cancelSettle = 20 * time.Millisecond
