--- a/snipedaemon/forwardrecords.go
+++ b/snipedaemon/forwardrecords.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 
-	"github.com/snipemoor/snipemoor/snipeforward"
 	"github.com/snipemoor/snipemoor/snipeonce"
 	"github.com/snipemoor/snipemoor/snipepeer"
 	"github.com/snipemoor/snipemoor/snipetime"
