--- a/snipedaemon/daemon.go
+++ b/snipedaemon/daemon.go
@@ -27,6 +27,11 @@
 	"github.com/snipemoor/snipemoor/snipetime"
 )
 
+// storeMaxBackoff bounds the pause before a watch is opened again. A watcher
+// that waits longer after an outage of the store learns of the next change too
+// late for the 3 s in which it must be in force.
+const storeMaxBackoff = time.Second
+
 // Dependencies are what a daemon needs from its process.
 type Dependencies struct {
 	// Log receives one line for each event.
@@ -147,7 +152,7 @@
 	}, peerListener, deps.Dialer, d.log)
 	d.store = snipestore.New(snipestore.Settings{
 		Addresses: addressStrings(s.store), CallTimeout: s.storeTimeout, CallsPerSecond: s.storeCalls,
-		CallBurst: int(2 * s.storeCalls), DialContext: deps.Dialer.DialContext, Observer: storeObserver{d.metrics},
+		CallBurst: int(2 * s.storeCalls), MaxBackoff: storeMaxBackoff, DialContext: deps.Dialer.DialContext, Observer: storeObserver{d.metrics},
 	})
 	d.config = newConfiguration(d.log, d.node, d.store, d.metrics)
 	d.members = newMembership(d.log, d.clock, d.node, d.store, d.self, s, deps.Dialer)
