Bound the queue in the own region before another region is tried

The wait before another region is tried is now at most 500 ms, and the request can queue again afterwards.

--- a/snipeforward/attempt.go
+++ b/snipeforward/attempt.go
@@ -15,7 +15,11 @@
 	relayWait = 20 * time.Millisecond
 	// relayWorth is the expected wait in the own region above which another
 	// region is tried first; a round trip between regions takes 40 to 70 ms.
-	relayWorth  = 60 * time.Millisecond
+	relayWorth = 60 * time.Millisecond
+	// queueWorth bounds the wait in the own region before another region is
+	// tried. A longer wait shows that the expected one was wrong, as it is while
+	// a new owner of the slots waits for reports.
+	queueWorth  = 500 * time.Millisecond
 	maxPlaces   = 16
 	bitsPerByte = 8
 )
@@ -39,7 +43,7 @@
 	for _, place := range plan {
 		if place.NeedsLink && best != nil && best.time <= relayWorth && !hedge && !queued {
 			queued = true
-			a, failed := f.local(ctx, q, best.place, f.left(q)/2, hedge)
+			a, failed := f.local(ctx, q, best.place, min(f.left(q)/2, queueWorth), hedge)
 			if settled(a, failed) {
 				return a, failed
 			}
@@ -57,7 +61,7 @@
 			best = &wait{place, failed.end.retryAfter}
 		}
 	}
-	if best == nil || hedge || queued {
+	if best == nil || hedge {
 		return nil, last
 	}
 	return f.local(ctx, q, best.place, f.left(q)*9/10, hedge)
