Hold targets that move between slot groups until their attempts are known

Cause: the daemon did not state generations to snipeslot, so that the owner of a target's new group used it at once, beside attempts under grants of its former group. Owners and the holder now get the generation, and renewals carry it with the attempts under foreign grants.

--- a/snipedaemon/reconcile.go
+++ b/snipedaemon/reconcile.go
@@ -85,7 +85,7 @@
 	d.members.configure(now, snapshot.Fleet())
 	d.positions.configure(region, snapshot.Fleet().PositionsPerRegion(), now)
 	d.limits.configure(now, snapshot, region)
-	d.slots.configure(now, groupsOf(snapshot, region))
+	d.slots.configure(now, snapshot.Generation(), groupsOf(snapshot, region))
 	d.forward.configure(snapshot)
 	d.applyPositions(now)
 	d.checkStopTimeout(snapshot)
--- a/snipedaemon/slots.go
+++ b/snipedaemon/slots.go
@@ -97,6 +97,8 @@
 	members []snipeslot.Member
 	waiters map[string]*slotWaiter
 	renewed map[string][]sentRenewal
+	// generation is that of groups.
+	generation uint64
 	// epochs holds the newest known epoch of each group's owner.
 	epochs map[string]uint64
 }
@@ -123,11 +125,13 @@
 	return s
 }
 
-// configure replaces the groups of the region.
-func (s *slots) configure(now snipetime.Instant, groups map[string]groupConfig) {
+// configure replaces the groups of the region. Owners come before the holder, so
+// that a target that moves between groups is held until its attempts are known.
+func (s *slots) configure(now snipetime.Instant, generation uint64, groups map[string]groupConfig) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.groups = groups
+	s.generation = generation
 	for name, o := range s.owners {
 		g, ok := groups[name]
 		if !ok {
@@ -137,7 +141,20 @@
 		o.config = g
 		s.configureOwner(now, o)
 	}
+	s.holder.Configure(generation, targetsOf(groups))
 	s.assign(now, nil)
+	s.sendRenewals(now)
+}
+
+// targetsOf returns the addresses of the targets of each group.
+func targetsOf(groups map[string]groupConfig) map[string][]string {
+	targets := make(map[string][]string, len(groups))
+	for name, g := range groups {
+		for _, t := range g.targets {
+			targets[name] = append(targets[name], t.Address().String())
+		}
+	}
+	return targets
 }
 
 // refresh applies changes of draining targets to the groups that are owned.
@@ -160,6 +177,7 @@
 		}
 		addresses[i] = targets[i].Address
 	}
+	o.owner.SetGeneration(s.generation)
 	s.deliver(o.owner.Configure(now, targets))
 	s.probes.set(o.config.name, addresses, o.config.template, func(address string, p sniperoute.Probe) {
 		s.mu.Lock()
--- a/snipedaemon/slotwire.go
+++ b/snipedaemon/slotwire.go
@@ -148,7 +148,13 @@
 }
 
 func renewTo(list snipeslot.Renew) *snipewire.SlotRenew {
-	m := &snipewire.SlotRenew{Group: list.Group, Epoch: list.Epoch, Sequence: list.Sequence}
+	m := &snipewire.SlotRenew{
+		Group: list.Group, Epoch: list.Epoch, Sequence: list.Sequence, Generation: list.Generation, Digest: list.Digest,
+		Foreign: make(map[string]uint32, len(list.Foreign)),
+	}
+	for target, n := range list.Foreign {
+		m.Foreign[target] = uint32(n)
+	}
 	for _, a := range list.Attempts {
 		m.Attempts = append(m.Attempts, &snipewire.RunningAttempt{AttemptId: a.AttemptID, GrantId: a.GrantID, Target: a.Target})
 	}
@@ -156,7 +162,13 @@
 }
 
 func renewFrom(from snipepeer.Peer, m *snipewire.SlotRenew) snipeslot.Renew {
-	list := snipeslot.Renew{Group: m.GetGroup(), From: memberOf(from), Epoch: m.GetEpoch(), Sequence: m.GetSequence()}
+	list := snipeslot.Renew{
+		Group: m.GetGroup(), From: memberOf(from), Epoch: m.GetEpoch(), Sequence: m.GetSequence(),
+		Generation: m.GetGeneration(), Digest: m.GetDigest(), Foreign: make(map[string]int, len(m.GetForeign())),
+	}
+	for target, n := range m.GetForeign() {
+		list.Foreign[target] = int(n)
+	}
 	for _, a := range m.GetAttempts() {
 		list.Attempts = append(list.Attempts, snipeslot.Running{
 			AttemptID: a.GetAttemptId(), GrantID: a.GetGrantId(), Target: a.GetTarget(),
