Wait for the owners of all slot groups before a scenario begins

Cause: the cell join/register/region fails reported that a booking ran 0 times, because it was refused not-run: the world counted as settled when all positions were held, a moment before the owners of their groups existed. The condition now also requires an owner for every group, which is stricter, and the booking before the restart has to be done.

--- a/snipescenario/calls_test.go
+++ b/snipescenario/calls_test.go
@@ -374,6 +374,7 @@
 // positions of their regions and know a group owner for every group.
 func (w *world) settled() error {
 	held := map[string]int{}
+	groups := 0
 	running := 0
 	for _, in := range w.instances {
 		if in.running() {
@@ -401,6 +402,7 @@
 			return fmt.Errorf("%s sees %d live members, %d run", in.name, live, running)
 		}
 		held[w.region(in.place)] += len(s.Positions)
+		groups += len(s.Groups)
 		for _, g := range s.Groups {
 			if g.Free != g.Total {
 				return fmt.Errorf("%s: group %s has %d of %d slots free", in.name, g.Group, g.Free, g.Total)
@@ -412,5 +414,20 @@
 			return fmt.Errorf("%d positions of %s are held", n, region)
 		}
 	}
+	// A position is held a moment before the owners of its groups exist.
+	if want := w.groups(); groups != want {
+		return fmt.Errorf("%d of %d groups have an owner", groups, want)
+	}
 	return nil
 }
+
+// groups returns the number of slot groups; each place of a service has one.
+func (w *world) groups() int {
+	n := 0
+	for _, team := range w.base.Teams() {
+		for _, service := range team.Services() {
+			n += len(service.Places())
+		}
+	}
+	return n
+}
--- a/snipescenario/matrix_test.go
+++ b/snipescenario/matrix_test.go
@@ -339,6 +339,26 @@
 	}
 }
 
+// callUntilDone sends a request and repeats it, each time under a new
+// identifier, until it is done, the tries are used up, or, for what was answered
+// not-run, usefulAgain has passed. A caller may repeat what was not run: the ramp
+// of a shift and the recovery of slots refuse requests for a while by design.
+func (c *cell) callUntilDone(o order, tries int) *outcome {
+	deadline := time.Now().Add(usefulAgain)
+	for {
+		r := c.call(o)
+		if r == nil || r.String() == "done" {
+			return r
+		}
+		if !strings.HasPrefix(r.String(), "not-run/") || time.Now().After(deadline) {
+			tries--
+		}
+		if tries == 0 {
+			return r
+		}
+	}
+}
+
 // usefulAgain is the longest time of section 1.8 in which an instance is to be
 // useful again.
 const usefulAgain = 5 * time.Second
@@ -352,18 +372,9 @@
 	if c.has(faultSilence) {
 		tries = 3
 	}
-	var r *outcome
-	deadline := time.Now().Add(usefulAgain)
-	for tries > 0 {
-		r = c.call(order{service: service, method: "POST", from: 2, to: c.w.instances[2], bytes: 100, timeout: 2 * time.Second})
-		if r != nil && r.String() == "done" {
-			return
-		}
-		// A caller may repeat what was not run. The ramp of a shift and the
-		// recovery of slots refuse requests for a while by design.
-		if r == nil || !strings.HasPrefix(r.String(), "not-run/") || time.Now().After(deadline) {
-			tries--
-		}
+	r := c.callUntilDone(order{service: service, method: "POST", from: 2, to: c.w.instances[2], bytes: 100, timeout: 2 * time.Second}, tries)
+	if r != nil && r.String() == "done" {
+		return
 	}
 	if r != nil {
 		c.failf(0, "%s after the faults: %s (%v)", service, r, r.err)
--- a/snipescenario/matrixflows_test.go
+++ b/snipescenario/matrixflows_test.go
@@ -389,8 +389,9 @@
 // runJoin kills an instance after a booking and starts it again.
 func runJoin(c *cell) error {
 	o := order{service: "bookdesk", method: http.MethodPost, from: 2, to: c.victim, timeout: 3 * time.Second}
-	first := c.call(o)
-	if first == nil {
+	first := c.callUntilDone(o, 1)
+	if first == nil || first.String() != "done" {
+		c.failf(0, "booking before the restart: %v", first)
 		return nil
 	}
 	if err := c.victim.kill(); err != nil {
