Add the front for the users' platform: thin path

Cause: snipemoor does not speak the platform's protocols. Change: platform/ translates settings, store, headers, directory and readiness; snipetable, snipefleet, snipesync, snipeplacement, snipeconn and snipegate hold the route table, the view of the fleet, the store's follower, the choice of targets, the connections and the steps of a request; snipefront assembles them.

--- a/cmd/snipemoord/main.go
+++ b/cmd/snipemoord/main.go
@@ -21,6 +21,7 @@
 
 	"github.com/snipemoor/snipemoor/snipeconfig"
 	"github.com/snipemoor/snipemoor/snipedaemon"
+	"github.com/snipemoor/snipemoor/snipelog"
 )
 
 // Exit statuses.
@@ -72,7 +73,7 @@
 }
 
 func serve(settings *snipedaemon.Settings, stderr io.Writer) int {
-	log, err := snipedaemon.NewLogger(settings.LogLevel(), stderr)
+	log, err := snipelog.New(settings.LogLevel(), stderr)
 	if err != nil {
 		complain(stderr, err)
 		return exitBadSettings
--- /dev/null
+++ b/snipeconn/failure.go
@@ -0,0 +1,43 @@
+package snipeconn
+
+import "fmt"
+
+// Cause is the kind of a failure, as logs and metrics name it.
+type Cause string
+
+// Causes of failures.
+const (
+	// CauseDial means that no connection could be opened.
+	CauseDial Cause = "dialFailed"
+	// CauseLost means that the connection broke before a complete answer.
+	CauseLost Cause = "connectionLost"
+	// CauseTimeout means that the deadline passed.
+	CauseTimeout Cause = "timeout"
+	// CauseCancelled means that the context was cancelled.
+	CauseCancelled Cause = "cancelled"
+	// CauseMalformed means that the bytes received are not an answer.
+	CauseMalformed Cause = "malformedAnswer"
+)
+
+// Failure is a request without a complete answer.
+type Failure struct {
+	// Begun says whether the target can have begun the request. If it is false,
+	// the target has not and never will.
+	Begun bool
+	// Cause is the kind of the failure.
+	Cause Cause
+	// Err is the underlying error.
+	Err error
+}
+
+// Error implements error.
+func (f *Failure) Error() string {
+	state := "not begun"
+	if f.Begun {
+		state = "can have begun"
+	}
+	return fmt.Sprintf("%s (%s): %v", f.Cause, state, f.Err)
+}
+
+// Unwrap returns the underlying error.
+func (f *Failure) Unwrap() error { return f.Err }
--- a/snipedaemon/settings_test.go
+++ b/snipedaemon/settings_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 
+	"github.com/snipemoor/snipemoor/snipelog"
+
 	"github.com/sebdah/goldie/v2"
 	"go.uber.org/zap"
 
@@ -69,7 +71,7 @@
 // Guards against log lines that cannot be split into key=value pairs.
 func TestLoggerWritesPairs(t *testing.T) {
 	var out bytes.Buffer
-	log, err := NewLogger("info", &out)
+	log, err := snipelog.New("info", &out)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -81,7 +83,7 @@
 	if line != want {
 		t.Errorf("line %q, want %q", line, want)
 	}
-	if _, err := NewLogger("loud", &out); err == nil {
+	if _, err := snipelog.New("loud", &out); err == nil {
 		t.Error("an unknown level was accepted")
 	}
 }
--- /dev/null
+++ b/snipefleet/registry_test.go
@@ -0,0 +1,92 @@
+package snipefleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/snipemoor/snipemoor/snipetime"
+)
+
+const second = snipetime.Instant(time.Second)
+
+func report(id string, born int64) TargetReport {
+	return TargetReport{ID: id, Service: "s", Address: id, Place: Place{Domain: "d", Region: "r"}, Slots: 4, Born: born}
+}
+
+func usable(r *Registry) int { return len(r.View().Targets("s")) }
+
+// TestDraining guards against a leaving target that comes back into use.
+func TestDraining(t *testing.T) {
+	r := New()
+	r.Report(0, report("a", 1))
+	leaving := report("a", 1)
+	leaving.Draining = true
+	r.Report(second, leaving)
+	if usable(r) != 0 {
+		t.Fatal("draining target is in use")
+	}
+	r.Report(2*second, report("a", 1))
+	if usable(r) != 0 {
+		t.Fatal("an old report returned a draining target to use")
+	}
+	r.Report(3*second, report("a", 2))
+	if usable(r) != 1 {
+		t.Fatal("a new incarnation is not in use")
+	}
+}
+
+// TestLapse guards against emptying the view when entries lapse in an outage of
+// the store, and against keeping what does not come back.
+func TestLapse(t *testing.T) {
+	r := New()
+	r.Report(0, report("a", 1))
+	r.Report(0, report("b", 1))
+	r.Join(Member{Name: "f"})
+	r.StoreAway()
+	r.StoreBack(10 * second)
+	r.Keep(10*second, Listed{})
+	if usable(r) != 2 || len(r.View().Members()) != 1 {
+		t.Fatal("lapsed entries are not in use right after the store's return")
+	}
+	r.Report(11*second, report("a", 1))
+	r.Tick(12*second - 1)
+	if usable(r) != 2 {
+		t.Fatal("lapse ended before its grace")
+	}
+	r.Tick(12 * second)
+	if usable(r) != 1 || len(r.View().Members()) != 0 {
+		t.Fatal("entries that did not come back are in use")
+	}
+	if r.Remove(13*second, "a"); usable(r) != 0 {
+		t.Fatal("a removal in a calm store did not end use")
+	}
+}
+
+// TestEvacuate guards against use of targets in an evacuated failure domain.
+func TestEvacuate(t *testing.T) {
+	r := New()
+	r.Report(0, report("a", 1))
+	r.Evacuate(second, "d", true)
+	if usable(r) != 0 || !r.View().Evacuated("d") {
+		t.Fatal("evacuated target is in use")
+	}
+	r.Keep(2*second, Listed{Targets: map[string]bool{"a": true}})
+	if usable(r) != 1 {
+		t.Fatal("target is not in use after the evacuation")
+	}
+	if at, ok := r.View().ReturnedAt("d"); !ok || at != 2*second {
+		t.Fatalf("ReturnedAt = %v, %v", at, ok)
+	}
+}
+
+// TestMisaddressed guards against sending to an address that now belongs to
+// another target.
+func TestMisaddressed(t *testing.T) {
+	r := New()
+	r.Report(0, report("a", 1))
+	r.Misaddressed(r.View().Targets("s")[0])
+	r.Report(second, report("a", 1))
+	if usable(r) != 0 {
+		t.Fatal("target is in use after another one answered at its address")
+	}
+}
--- /dev/null
+++ b/snipefront/front.go
@@ -0,0 +1,174 @@
+package snipefront
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.uber.org/zap"
+
+	"github.com/snipemoor/snipemoor/platform"
+	"github.com/snipemoor/snipemoor/snipeconn"
+	"github.com/snipemoor/snipemoor/snipefleet"
+	"github.com/snipemoor/snipemoor/snipegate"
+	"github.com/snipemoor/snipemoor/snipeplacement"
+	"github.com/snipemoor/snipemoor/sniperetry"
+	"github.com/snipemoor/snipemoor/snipesync"
+	"github.com/snipemoor/snipemoor/snipetable"
+	"github.com/snipemoor/snipemoor/snipetime"
+)
+
+const (
+	// metricsPath is where metrics are served.
+	metricsPath = "/metrics"
+	// sweepEvery is the time between two sweeps of idle connections.
+	sweepEvery = 2 * time.Second
+	// memoryShare is the part of the process's memory at which the garbage
+	// collector works harder.
+	memoryShare = 0.6
+)
+
+// Front is one process between callers and targets.
+type Front struct {
+	settings *platform.Settings
+	log      *zap.Logger
+	registry *prometheus.Registry
+
+	timers   *snipetime.Service
+	fleet    *snipefleet.Registry
+	tables   *snipetable.Holder
+	pools    *snipeconn.Pools
+	chooser  *snipeplacement.Chooser
+	gate     *snipegate.Gate
+	follower *snipesync.Follower
+	announce *snipesync.Announcer
+	book     *book
+}
+
+// New returns a front that is not running yet.
+func New(s *platform.Settings, log *zap.Logger) *Front {
+	f := &Front{
+		settings: s, log: log, registry: prometheus.NewRegistry(),
+		timers: snipetime.New(), fleet: snipefleet.New(), tables: &snipetable.Holder{},
+		pools:   snipeconn.New(snipeconn.Settings{}),
+		chooser: snipeplacement.New(s.Name, s.Place),
+	}
+	self := snipefleet.Member{Name: s.Name, Address: s.Callers, Place: s.Place}
+	store := platform.NewStore(s.Store, s.Regions)
+	f.follower = snipesync.NewFollower(s.Name, store, f.fleet, f.tables, f.timers, log)
+	f.announce = snipesync.NewAnnouncer(store, self, f.follower, log)
+	f.book = &book{self: self, fleet: f.fleet, ttl: min(addressTTL, s.Bounds.AddressTTL)}
+	f.gate = snipegate.New(snipegate.Dependencies{
+		Dialect: platform.Headers{}, Tables: f.tables, Fleet: f.fleet, Chooser: f.chooser,
+		Sender: f.pools, Clock: f.timers, Metrics: snipegate.NewMetrics(f.registry), Log: log,
+		Budget: budget(s.Bounds),
+	})
+	f.registerConnections()
+	return f
+}
+
+func (f *Front) registerConnections() {
+	opened := func() float64 { n, _ := f.pools.Counts(); return float64(n) }
+	reused := func() float64 { _, n := f.pools.Counts(); return float64(n) }
+	f.registry.MustRegister(
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "snipemoor_target_connections_opened_total", Help: "Connections opened to targets.",
+		}, opened),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "snipemoor_target_connections_reused_total", Help: "Requests sent over a kept connection.",
+		}, reused),
+	)
+}
+
+// Parts of the platform's retry bound that one front spends. The rest is room
+// for the difference between the windows of the bound and the budget.
+const (
+	retryRatioShare   = 0.5
+	retryMinimumShare = 0.02
+)
+
+// budget returns the retry budget of a service on one front.
+func budget(b platform.Bounds) sniperetry.BudgetSettings {
+	return sniperetry.BudgetSettings{
+		Ratio:            b.RetryRatio * retryRatioShare,
+		MinimumPerSecond: b.RetryMinimum * retryMinimumShare / b.RetryWindow.Seconds(),
+		Cap:              max(b.RetryMinimum*retryMinimumShare, 2),
+	}
+}
+
+// Run serves until ctx ends and the graceful stop is done, or a part fails.
+func (f *Front) Run(ctx context.Context) error {
+	defer f.timers.Close()
+	debug.SetMemoryLimit(int64(memoryShare * float64(f.settings.MemoryBytes)))
+	f.log.Info("start", zap.String("front", f.settings.Name), zap.String("domain", f.settings.Place.Domain),
+		zap.String("callers", f.settings.Callers), zap.String("store", f.settings.Store))
+	f.timers.Every(sweepEvery, func(snipetime.Instant) { f.sweep() })
+
+	var g run.Group
+	stopped := make(chan struct{})
+	g.Add(f.untilStopped(ctx, stopped))
+	g.Add(background(f.follower.Run))
+	g.Add(f.serveCallers(ctx, stopped))
+	for name, part := range map[string]struct {
+		address string
+		handler http.Handler
+	}{
+		"directory": {f.settings.Directory, platform.DirectoryHandler(f.book)},
+		"readiness": {f.settings.Readiness, platform.ReadinessHandler(f.book.open.Load)},
+		"metrics":   {f.settings.Metrics, f.metricsHandler()},
+	} {
+		if part.address != "" {
+			g.Add(f.serve(name, part.address, part.handler))
+		}
+	}
+	err := g.Run()
+	f.log.Info("stop", zap.Error(err))
+	if errors.Is(err, errStopped) {
+		return nil
+	}
+	return err //nolint:wrapcheck // the actors wrap their errors
+}
+
+func (f *Front) metricsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET "+metricsPath, promhttp.HandlerFor(f.registry, promhttp.HandlerOpts{}))
+	return mux
+}
+
+func (f *Front) sweep() {
+	v := f.fleet.View()
+	addresses, ids := v.Known()
+	f.pools.Sweep(time.Now(), func(address string) bool { return addresses[address] })
+	f.chooser.Forget(func(id string) bool { return ids[id] })
+}
+
+// background turns a function that runs until its context ends into an actor.
+func background(work func(context.Context)) (execute func() error, interrupt func(error)) {
+	ctx, cancel := context.WithCancel(context.Background())
+	return func() error { work(ctx); return nil }, func(error) { cancel() }
+}
+
+// serve returns an actor that serves one of the small interfaces.
+func (f *Front) serve(name, address string, h http.Handler) (execute func() error, interrupt func(error)) {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(f.log)}
+	return func() error {
+			l, err := net.Listen("tcp4", address)
+			if err != nil {
+				return fmt.Errorf("listen for %s: %w", name, err)
+			}
+			if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+				return fmt.Errorf("serve %s: %w", name, err)
+			}
+			return nil
+		}, func(error) {
+			// The process ends; nothing depends on a clean close here.
+			_ = server.Close()
+		}
+}
--- /dev/null
+++ b/snipegate/attempts.go
@@ -0,0 +1,223 @@
+package snipegate
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/snipemoor/snipemoor/snipeconn"
+	"github.com/snipemoor/snipemoor/snipefleet"
+	"github.com/snipemoor/snipemoor/snipeplacement"
+	"github.com/snipemoor/snipemoor/snipetable"
+)
+
+// verdict is what follows from an attempt.
+type verdict int
+
+const (
+	// final means that the caller has its answer.
+	final verdict = iota
+	// notRun means that the target has not run the request.
+	notRun
+	// uncertain means that the target can have begun it, without a full answer.
+	uncertain
+)
+
+// attempts sends the request until it has an answer or must not be sent again.
+func (q *request) attempts() {
+	for {
+		t, refusal := q.choose()
+		if refusal != nil {
+			q.giveUp(refusal)
+			return
+		}
+		q.tried = append(q.tried, t)
+		switch q.attempt(t) {
+		case final:
+			return
+		case uncertain:
+			q.begun = true
+			if q.route.Kind != snipetable.Idempotent {
+				q.refuse(q.outcome, 0)
+				return
+			}
+		case notRun:
+		}
+		if !q.again() {
+			q.refuse(q.outcome, refusedDelay)
+			return
+		}
+		q.gate.Metrics.retried(q.outcome)
+	}
+}
+
+// refusedDelay is when a caller comes back after targets refused its request.
+const refusedDelay = 150 * time.Millisecond
+
+// giveUp refuses a request for which there is no target, or no further one.
+func (q *request) giveUp(refusal *snipeplacement.Refusal) {
+	if len(q.tried) == 0 {
+		q.outcome = Outcome(refusal.Reason)
+	}
+	q.refuse(q.outcome, refusal.RetryAfter)
+}
+
+func (q *request) choose() (*snipefleet.Target, *snipeplacement.Refusal) {
+	return q.gate.Chooser.Choose(q.gate.Clock.Now(), q.gate.Fleet.View(), &snipeplacement.Query{
+		Service: q.service,
+		Info:    q.table.Service(q.service),
+		Route:   q.route,
+		Object:  q.call.Object,
+		Tried:   q.tried,
+	})
+}
+
+// again reports whether the request may be sent once more.
+func (q *request) again() bool {
+	if len(q.tried) >= q.route.Attempts || q.r.Context().Err() != nil {
+		return false
+	}
+	if time.Until(q.deadline) < minAttemptTime {
+		return false
+	}
+	return q.gate.spendRetry(q.service)
+}
+
+// minAttemptTime is the least time for which an attempt is worth its cost.
+const minAttemptTime = 50 * time.Millisecond
+
+// attempt sends the request once and passes a final answer on.
+func (q *request) attempt(t *snipefleet.Target) verdict {
+	ctx := q.r.Context()
+	if q.route.Kind != snipetable.Idempotent {
+		// A target that runs such a request is left to finish it.
+		ctx = context.WithoutCancel(ctx)
+	}
+	sent := time.Now()
+	resp, err := q.gate.Sender.Send(ctx, &snipeconn.Request{
+		Address: t.Address, Method: q.r.Method, URI: q.r.RequestURI, Host: q.r.Host, Header: q.r.Header,
+		Extra: q.gate.Dialect.Outbound(time.Until(q.deadline), t.ID),
+		Body:  q.body, HasBody: q.r.ContentLength != 0 || q.r.Header.Get("Content-Length") != "",
+		IDHeader: q.gate.Dialect.IDHeader(), ID: q.call.ID, Deadline: q.deadline,
+	})
+	if err != nil {
+		return q.failed(t, sent, err)
+	}
+	defer resp.Close()
+	return q.answered(t, sent, resp)
+}
+
+func (q *request) failed(t *snipefleet.Target, sent time.Time, err error) verdict {
+	failure := &snipeconn.Failure{Begun: true, Cause: snipeconn.CauseLost, Err: err}
+	errors.As(err, &failure)
+	q.cause = failure
+	result := snipeplacement.Result{Latency: time.Since(sent)}
+	switch failure.Cause {
+	case snipeconn.CauseDial:
+		q.outcome, result.Unreachable = OutcomeUnreachable, true
+	case snipeconn.CauseTimeout:
+		q.outcome, result.Broken = OutcomeTimeout, true
+	case snipeconn.CauseCancelled:
+		q.outcome = OutcomeCallerGone
+	case snipeconn.CauseLost, snipeconn.CauseMalformed:
+		q.outcome, result.Broken = OutcomeLost, true
+	}
+	q.gate.Chooser.Done(q.gate.Clock.Now(), t, result)
+	if failure.Begun {
+		return uncertain
+	}
+	return notRun
+}
+
+func (q *request) answered(t *snipefleet.Target, sent time.Time, resp *snipeconn.Response) verdict {
+	s := q.gate.Dialect.Statement(resp.Status, resp.Header)
+	q.reused = resp.Reused
+	q.gate.Chooser.Done(q.gate.Clock.Now(), t, snipeplacement.Result{
+		Latency: time.Since(sent), Load: s.Load, Answered: !s.NotRun,
+	})
+	switch {
+	case s.Misaddressed:
+		q.gate.Fleet.Misaddressed(t)
+		q.outcome = OutcomeTargetRefused
+		return notRun
+	case s.NotRun:
+		q.outcome = OutcomeTargetRefused
+		return notRun
+	case resp.Status < http.StatusMultipleChoices && !s.Signed:
+		q.outcome = OutcomeUnsigned
+		return uncertain
+	case promisesNotRun(resp.Status):
+		// The target does not state what its status says.
+		q.outcome = OutcomeTargetFailed
+		return uncertain
+	case resp.Status >= http.StatusInternalServerError && q.route.Kind == snipetable.Idempotent &&
+		resp.Rest == nil && q.again():
+		q.outcome = OutcomeTargetFailed
+		return q.repeatOrPass(resp)
+	}
+	q.pass(resp)
+	return final
+}
+
+// promisesNotRun reports whether callers take a status as a promise that their
+// request has not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
+// repeatOrPass is called with a retry taken from the budget: a target failed an
+// idempotent request.
+func (q *request) repeatOrPass(resp *snipeconn.Response) verdict {
+	t, refusal := q.choose()
+	if refusal != nil {
+		q.pass(resp)
+		return final
+	}
+	q.begun = true
+	q.gate.Metrics.retried(q.outcome)
+	q.tried = append(q.tried, t)
+	if v := q.attempt(t); v != final {
+		q.pass(resp)
+	}
+	return final
+}
+
+// pass sends the answer of a target to the caller.
+func (q *request) pass(resp *snipeconn.Response) {
+	q.outcome, q.status = OutcomeAnswered, resp.Status
+	h := q.w.Header()
+	for name, values := range resp.Header {
+		if !snipeconn.ConnectionHeader(name) {
+			h[name] = values
+		}
+	}
+	if resp.Length >= 0 && q.r.Method != http.MethodHead {
+		h["Content-Length"] = []string{strconv.FormatInt(resp.Length, 10)}
+	}
+	q.w.WriteHeader(resp.Status)
+	if _, err := q.w.Write(resp.Body); err != nil {
+		q.cut(err)
+	}
+	if resp.Rest == nil {
+		return
+	}
+	if _, err := io.Copy(q.w, resp.Rest); err != nil {
+		q.cut(err)
+	}
+}
+
+// cut ends the caller's connection, so that an answer that ends early cannot be
+// taken for a complete one.
+func (q *request) cut(err error) {
+	q.outcome, q.cause = OutcomeCut, err
+	q.gate.report(q)
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/snipegate/gate.go
@@ -0,0 +1,225 @@
+package snipegate
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/snipemoor/snipemoor/snipeconn"
+	"github.com/snipemoor/snipemoor/snipefleet"
+	"github.com/snipemoor/snipemoor/snipeplacement"
+	"github.com/snipemoor/snipemoor/sniperetry"
+	"github.com/snipemoor/snipemoor/snipetable"
+	"github.com/snipemoor/snipemoor/snipetime"
+)
+
+// Sender sends single requests to targets.
+type Sender interface {
+	Send(ctx context.Context, r *snipeconn.Request) (*snipeconn.Response, error)
+}
+
+// Chooser chooses targets.
+type Chooser interface {
+	Choose(now snipetime.Instant, v *snipefleet.View, q *snipeplacement.Query) (*snipefleet.Target, *snipeplacement.Refusal)
+	Done(now snipetime.Instant, t *snipefleet.Target, r snipeplacement.Result)
+}
+
+// Fleet is what the gate needs of the registry.
+type Fleet interface {
+	View() *snipefleet.View
+	Misaddressed(t *snipefleet.Target)
+}
+
+// Clock tells the time.
+type Clock interface {
+	Now() snipetime.Instant
+}
+
+// Dependencies are the parts that a Gate uses. All are required.
+type Dependencies struct {
+	Dialect Dialect
+	Tables  *snipetable.Holder
+	Fleet   Fleet
+	Chooser Chooser
+	Sender  Sender
+	Clock   Clock
+	Metrics *Metrics
+	Log     *zap.Logger
+	// Budget are the parameters of the retry budget of each service.
+	Budget sniperetry.BudgetSettings
+}
+
+// Gate is the handler of the callers' requests.
+type Gate struct {
+	Dependencies
+	stopping atomic.Bool
+
+	mu      sync.Mutex
+	budgets map[string]*sniperetry.Budget
+}
+
+// New returns a gate.
+func New(d Dependencies) *Gate {
+	return &Gate{Dependencies: d, budgets: make(map[string]*sniperetry.Budget)}
+}
+
+// Stop makes the gate ask callers to close their connections.
+func (g *Gate) Stop() { g.stopping.Store(true) }
+
+// ServeHTTP implements http.Handler.
+func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if g.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	q := &request{gate: g, w: w, r: r, started: time.Now(), call: g.Dialect.Call(r.Header)}
+	q.serve()
+	g.report(q)
+}
+
+func (g *Gate) report(q *request) {
+	elapsed := time.Since(q.started)
+	kind := "none"
+	fields := []zap.Field{
+		zap.String("request", q.call.ID), zap.String("outcome", string(q.outcome)), zap.Int("status", q.status),
+		zap.Duration("took", elapsed), zap.Int("attempts", len(q.tried)), zap.Duration("wait", q.call.Wait),
+	}
+	if q.route != nil {
+		kind = q.route.Kind.String()
+		fields = append(fields, zap.String("route", q.route.Name), zap.String("service", q.service),
+			zap.Uint64("version", q.table.Version()), zap.String("object", q.call.Object))
+	}
+	if n := len(q.tried); n > 0 {
+		last := q.tried[n-1]
+		fields = append(fields, zap.String("target", last.ID), zap.Bool("begun", q.begun), zap.Bool("reusedConnection", q.reused))
+	}
+	if q.cause != nil {
+		fields = append(fields, zap.Error(q.cause))
+	}
+	g.Log.Info("request", fields...)
+	g.Metrics.ended(kind, q.outcome, elapsed)
+}
+
+// spendRetry takes one retry of a service from the budget.
+func (g *Gate) spendRetry(service string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.budget(service).Spend(g.Clock.Now())
+}
+
+func (g *Gate) firstAttempt(service string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.budget(service).FirstAttempt(g.Clock.Now())
+}
+
+// budget needs the lock.
+func (g *Gate) budget(service string) *sniperetry.Budget {
+	b := g.budgets[service]
+	if b == nil {
+		b = sniperetry.NewBudget(g.Budget, g.Clock.Now())
+		g.budgets[service] = b
+	}
+	return b
+}
+
+// request is one request of a caller on its way.
+type request struct {
+	gate    *Gate
+	w       http.ResponseWriter
+	r       *http.Request
+	started time.Time
+	call    Call
+
+	table   *snipetable.Table
+	route   *snipetable.Route
+	service string
+	body    []byte
+	// deadline ends the request.
+	deadline time.Time
+	tried    []*snipefleet.Target
+	begun    bool
+	reused   bool
+
+	outcome Outcome
+	status  int
+	cause   error
+}
+
+func (q *request) serve() {
+	if !q.admit() {
+		return
+	}
+	if !q.readBody() {
+		return
+	}
+	q.service = q.route.Backend(rand.Float64())
+	q.gate.firstAttempt(q.service)
+	q.attempts()
+}
+
+// admit finds the route and the deadline.
+func (q *request) admit() bool {
+	q.table = q.gate.Tables.Current()
+	if q.table == nil {
+		q.refuse(OutcomeNoConfiguration, time.Second)
+		return false
+	}
+	if q.call.ID == "" {
+		q.refuse(OutcomeNoID, 0)
+		return false
+	}
+	q.route = q.table.Match(hostName(q.r.Host), q.r.URL.EscapedPath())
+	if q.route == nil {
+		q.refuse(OutcomeNoRoute, 0)
+		return false
+	}
+	wait := q.route.Timeout
+	if q.call.Wait > 0 {
+		wait = min(wait, q.call.Wait)
+	}
+	q.deadline = q.started.Add(wait)
+	return true
+}
+
+// hostName returns the host of a Host header in lower case, without the port.
+func hostName(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
+
+func (q *request) readBody() bool {
+	if q.r.ContentLength == 0 {
+		return true
+	}
+	limit := q.table.Limits().BodyBytes
+	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		q.refuse(OutcomeBodyTooLarge, 0)
+		return false
+	case err != nil:
+		q.cause = err
+		q.refuse(OutcomeBodyBroken, 0)
+		return false
+	}
+	q.body = body
+	return true
+}
+
+// refuse answers for the front itself.
+func (q *request) refuse(o Outcome, retryAfter time.Duration) {
+	q.outcome = o
+	q.status = refuse(q.w, o, q.begun, retryAfter)
+}
--- /dev/null
+++ b/snipegate/metrics.go
@@ -0,0 +1,39 @@
+package snipegate
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Metrics counts requests by outcome.
+type Metrics struct {
+	requests *prometheus.CounterVec
+	retries  *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+}
+
+// NewMetrics returns metrics that are registered with r.
+func NewMetrics(r prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "snipemoor_requests_total", Help: "Requests of callers by kind of route and outcome.",
+		}, []string{"kind", "outcome"}),
+		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "snipemoor_retries_total", Help: "Requests sent to a further target, by the outcome at the one before.",
+		}, []string{"reason"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "snipemoor_request_seconds", Help: "Time from reading the headers of a request to its answer, by outcome.",
+			Buckets: []float64{0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.25, 0.3, 0.4, 0.5, 0.75, 1, 2, 4, 8},
+		}, []string{"outcome"}),
+	}
+	r.MustRegister(m.requests, m.retries, m.latency)
+	return m
+}
+
+func (m *Metrics) ended(kind string, o Outcome, elapsed time.Duration) {
+	m.requests.WithLabelValues(kind, string(o)).Inc()
+	m.latency.WithLabelValues(string(o)).Observe(elapsed.Seconds())
+}
+
+func (m *Metrics) retried(o Outcome) { m.retries.WithLabelValues(string(o)).Inc() }
--- a/snipedaemon/logger.go
+++ b/snipelog/logger.go
@@ -1,4 +1,4 @@
-package snipedaemon
+package snipelog
 
 import (
 	"fmt"
@@ -13,9 +13,9 @@
 	"go.uber.org/zap/zapcore"
 )
 
-// NewLogger returns a logger that writes one line of key=value pairs for each
+// New returns a logger that writes one line of key=value pairs for each
 // event to w. It returns an error if level is not the name of a level.
-func NewLogger(level string, w io.Writer) (*zap.Logger, error) {
+func New(level string, w io.Writer) (*zap.Logger, error) {
 	l, err := zapcore.ParseLevel(level)
 	if err != nil {
 		return nil, fmt.Errorf("log level %q: %w", level, err)
--- /dev/null
+++ b/snipelog/writer_test.go
@@ -0,0 +1,52 @@
+package snipelog
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// blockedOutput blocks each write until it is released.
+type blockedOutput struct {
+	release chan struct{}
+	mu      sync.Mutex
+	got     bytes.Buffer
+}
+
+func (b *blockedOutput) Write(p []byte) (int, error) {
+	<-b.release
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.got.Write(p)
+}
+
+// TestWriterBounds guards against a log that blocks requests or grows without
+// bound when its output stands still.
+func TestWriterBounds(t *testing.T) {
+	out := &blockedOutput{release: make(chan struct{})}
+	w := NewWriter(out, WriterSettings{LinesPerSecond: 50, BufferBytes: 1 << 10, FlushEvery: 5 * time.Millisecond})
+	fixed := time.Unix(100, 0)
+	w.mu.Lock()
+	w.now = func() time.Time { return fixed }
+	w.mu.Unlock()
+	const lines = 10_000
+	for i := range lines {
+		if _, err := fmt.Fprintf(w, "line %d\n", i); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := w.Dropped(); got != lines-50 {
+		t.Errorf("%d lines dropped, want %d", got, lines-50)
+	}
+	close(out.release)
+	w.Close()
+	<-w.done
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	if !strings.Contains(out.got.String(), "log lines dropped") {
+		t.Error("the output does not tell of dropped lines")
+	}
+}
--- /dev/null
+++ b/snipeplacement/chooser.go
@@ -0,0 +1,224 @@
+package snipeplacement
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/snipemoor/snipemoor/snipefleet"
+	"github.com/snipemoor/snipemoor/snipetable"
+	"github.com/snipemoor/snipemoor/snipetime"
+)
+
+const (
+	// setSize is the number of targets to which an object belongs.
+	setSize = 2
+	// fillFactor is the load at which a target takes no more, in units of its
+	// slots.
+	fillFactor = 2.0
+)
+
+// Reason is why a request is refused, as logs and metrics name it.
+type Reason string
+
+// Reasons of refusals.
+const (
+	// ReasonNoTarget means that no usable target is known.
+	ReasonNoTarget Reason = "noTarget"
+	// ReasonFull means that the targets of the object have no room.
+	ReasonFull Reason = "targetsFull"
+	// ReasonCold means that the targets that are left are cold and have taken
+	// their share.
+	ReasonCold Reason = "targetsCold"
+)
+
+// Refusal says why a request is refused and when to come back.
+type Refusal struct {
+	Reason     Reason
+	RetryAfter time.Duration
+}
+
+// Query is a request that needs a target.
+type Query struct {
+	Service string
+	// Info is the service as the operator states it, or nil.
+	Info  *snipetable.Service
+	Route *snipetable.Route
+	// Object is the affinity key.
+	Object string
+	// Tried are the targets that the request was sent to.
+	Tried []*snipefleet.Target
+}
+
+// Load is what a target says of itself in an answer.
+type Load struct {
+	Running, Waiting, Slots int
+}
+
+// Result is the end of a request at a target.
+type Result struct {
+	// Latency is the time since the choice.
+	Latency time.Duration
+	// Load is what the answer states, or nil.
+	Load *Load
+	// Answered is true for a complete answer.
+	Answered bool
+	// Unreachable is true if no connection could be opened.
+	Unreachable bool
+	// Broken is true if the connection broke or stayed silent.
+	Broken bool
+}
+
+// Chooser chooses targets for one front. It is safe for concurrent use.
+type Chooser struct {
+	name string
+	own  snipefleet.Place
+
+	mu     sync.Mutex
+	ranks  ranks
+	states map[string]*state
+}
+
+// New returns a chooser for the front with the given name and place.
+func New(name string, own snipefleet.Place) *Chooser {
+	return &Chooser{name: name, own: own, ranks: ranks{own: own}, states: make(map[string]*state)}
+}
+
+// Choose returns a target for q and counts the request as in flight there until
+// Done, or returns a refusal.
+func (c *Chooser) Choose(now snipetime.Instant, v *snipefleet.View, q *Query) (*snipefleet.Target, *Refusal) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	refusal := Refusal{Reason: ReasonNoTarget, RetryAfter: noTargetDelay}
+	considered := 0
+	for _, t := range c.ranks.order(v, q.Service, q.Object) {
+		if considered == setSize {
+			break
+		}
+		if !q.Route.AllowsRegion(t.Place.Region) || slices.Contains(q.Tried, t) {
+			continue
+		}
+		s := c.state(t)
+		if s.suspect(now) || c.cold(now, v, t, q.Info) {
+			if !c.trial(now, v, t, s, q.Info) {
+				refusal.worsen(ReasonCold, coldDelay)
+				continue
+			}
+			s.inFlight++
+			return t, nil
+		}
+		considered++
+		room := fillFactor*float64(t.Slots) - s.load(now)
+		if room < 1 {
+			refusal.worsen(ReasonFull, s.freeIn(t, 1-room))
+			continue
+		}
+		s.inFlight++
+		return t, nil
+	}
+	return nil, &refusal
+}
+
+// worsen replaces the reason and keeps the shortest delay of one reason.
+func (r *Refusal) worsen(reason Reason, delay time.Duration) {
+	if r.Reason == reason {
+		r.RetryAfter = min(r.RetryAfter, delay)
+		return
+	}
+	if r.Reason == ReasonFull {
+		return
+	}
+	r.Reason, r.RetryAfter = reason, delay
+}
+
+// Done ends a request that Choose counted at t.
+func (c *Chooser) Done(now snipetime.Instant, t *snipefleet.Target, r Result) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state(t).done(now, r)
+}
+
+// Forget drops what is known of targets that the view does not name, and that
+// have no request in flight.
+func (c *Chooser) Forget(known func(id string) bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, s := range c.states {
+		if s.inFlight == 0 && !known(id) {
+			delete(c.states, id)
+		}
+	}
+}
+
+func (c *Chooser) state(t *snipefleet.Target) *state {
+	s := c.states[t.ID]
+	if s == nil || s.born != t.Born {
+		s = &state{born: t.Born, reported: t.ReportedAt, service: defaultService}
+		c.states[t.ID] = s
+	}
+	return s
+}
+
+const (
+	// noTargetDelay is when a caller comes back if no target is known; targets
+	// register within about that time.
+	noTargetDelay = 500 * time.Millisecond
+	// coldDelay is when a caller comes back to a cold target.
+	coldDelay = 300 * time.Millisecond
+	// defaultService is the expected time of a request at a target that has not
+	// answered yet.
+	defaultService = 150 * time.Millisecond
+	// othersDecay is the time constant with which the load of other callers, as
+	// last seen, is forgotten.
+	othersDecay = time.Second
+	// smoothing is the weight of a new sample of the service time.
+	smoothing = 0.1
+)
+
+// state is what this front knows of one incarnation of a target.
+type state struct {
+	born     int64
+	inFlight int
+	// others is the load of other callers at the time othersAt.
+	others   float64
+	othersAt snipetime.Instant
+	// service is the smoothed time of an answered request.
+	service time.Duration
+	// failures counts the failures in a row, and failedAt is the last one.
+	failures int
+	failedAt snipetime.Instant
+	reported func() snipetime.Instant
+	// trials is the allowance for requests to a cold or suspect target.
+	trials bucket
+}
+
+func (s *state) load(now snipetime.Instant) float64 {
+	age := now.Sub(s.othersAt)
+	return float64(s.inFlight) + s.others*math.Exp(-age.Seconds()/othersDecay.Seconds())
+}
+
+// freeIn returns when n requests will have ended at t.
+func (s *state) freeIn(t *snipefleet.Target, n float64) time.Duration {
+	return time.Duration(n * float64(s.service) / float64(max(t.Slots, 1)))
+}
+
+func (s *state) done(now snipetime.Instant, r Result) {
+	s.inFlight--
+	if r.Load != nil {
+		total := r.Load.Running + r.Load.Waiting
+		s.others = float64(max(total-s.inFlight, 0))
+		s.othersAt = now
+	}
+	switch {
+	case r.Answered:
+		s.failures = 0
+		s.service += time.Duration(smoothing * float64(r.Latency-s.service))
+	case r.Unreachable:
+		s.failures += suspectFailures
+		s.failedAt = now
+	case r.Broken:
+		s.failures++
+		s.failedAt = now
+	}
+}
--- /dev/null
+++ b/snipeplacement/cold.go
@@ -0,0 +1,104 @@
+package snipeplacement
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/snipemoor/snipemoor/snipefleet"
+	"github.com/snipemoor/snipemoor/snipetable"
+	"github.com/snipemoor/snipemoor/snipetime"
+)
+
+const (
+	// suspectFailures is the number of failures in a row after which a target
+	// counts as down.
+	suspectFailures = 2
+	// suspectRate is the rate of trials at a target that counts as down, in
+	// requests per second.
+	suspectRate = 1.0
+	// maxSuspicion ends the suspicion of a target that keeps reporting.
+	maxSuspicion = 5 * time.Second
+)
+
+// suspect reports whether the target counts as down: it failed, and has not
+// reported since. A target that restarts is cold, which only its report tells.
+func (s *state) suspect(now snipetime.Instant) bool {
+	if s.failures < suspectFailures {
+		return false
+	}
+	if s.reported().After(s.failedAt) {
+		s.failures = 0
+		return false
+	}
+	return now.Sub(s.failedAt) < maxSuspicion
+}
+
+// cold reports whether a target is cold, or can be: after an evacuation a target
+// is taken for cold until its reports say otherwise.
+func (c *Chooser) cold(now snipetime.Instant, v *snipefleet.View, t *snipefleet.Target, info *snipetable.Service) bool {
+	if info == nil || info.ColdRate <= 0 {
+		return false
+	}
+	if now.Before(t.ColdUntil) {
+		return true
+	}
+	at, ok := v.ReturnedAt(t.Place.Domain)
+	return ok && now.Sub(at) < info.ColdFor
+}
+
+// trial reports whether this front may send a request to a cold or suspect
+// target now. One front for each target sends such requests, so that the sum
+// over all fronts stays under the rate that the target bears.
+func (c *Chooser) trial(now snipetime.Instant, v *snipefleet.View, t *snipefleet.Target, s *state, info *snipetable.Service) bool {
+	if sender(v.Members(), t) != c.name {
+		return false
+	}
+	rate := suspectRate
+	if !s.suspect(now) && info != nil {
+		rate = info.ColdRate
+	}
+	return s.trials.take(now, rate)
+}
+
+// sender returns the name of the front that sends to a cold target: one of the
+// target's region if there is any.
+func sender(members []snipefleet.Member, t *snipefleet.Target) string {
+	name, best, near := "", uint64(0), false
+	for i := range members {
+		m := &members[i]
+		local := m.Place.Region == t.Place.Region
+		if near && !local {
+			continue
+		}
+		h := pairHash(m.Name, t.ID)
+		if name == "" || local && !near || h > best {
+			name, best, near = m.Name, h, local
+		}
+	}
+	return name
+}
+
+func pairHash(a, b string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	// Writes to a digest do not fail.
+	_, _ = d.WriteString(a)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(b)
+	return d.Sum64()
+}
+
+// bucket is a token bucket of capacity one. It starts full.
+type bucket struct {
+	used bool
+	last snipetime.Instant
+}
+
+func (b *bucket) take(now snipetime.Instant, rate float64) bool {
+	if b.used && now.Sub(b.last).Seconds() < 1/rate {
+		return false
+	}
+	b.used, b.last = true, now
+	return true
+}
--- a/snipescenario/instance_test.go
+++ b/snipescenario/instance_test.go
@@ -20,6 +20,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/snipemoor/snipemoor/snipedaemon"
+	"github.com/snipemoor/snipemoor/snipelog"
 	"github.com/snipemoor/snipemoor/snipestandin"
 )
 
@@ -127,7 +128,7 @@
 	if err != nil {
 		return err
 	}
-	log, err := snipedaemon.NewLogger(settings.LogLevel(), os.Stderr)
+	log, err := snipelog.New(settings.LogLevel(), os.Stderr)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/snipesync/announcer.go
@@ -0,0 +1,106 @@
+package snipesync
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/snipemoor/snipemoor/snipefleet"
+)
+
+const (
+	// memberTTL is the time to live of the entry of a front. A front that died is
+	// still named to callers for at most that time and one watch pause.
+	memberTTL = 4 * time.Second
+	// renewEvery leaves room for two lost renewals within memberTTL.
+	renewEvery = 1300 * time.Millisecond
+)
+
+// Announcer keeps the entry of a front in the store until Withdraw.
+type Announcer struct {
+	store  Store
+	member snipefleet.Member
+	lost   <-chan struct{}
+	log    *zap.Logger
+	lease  LeaseID
+	held   bool
+}
+
+// NewAnnouncer returns an announcer of m. The follower tells it when the entry
+// was removed by another.
+func NewAnnouncer(store Store, m snipefleet.Member, f *Follower, log *zap.Logger) *Announcer {
+	return &Announcer{store: store, member: m, lost: f.lost, log: log}
+}
+
+// Run announces the front and renews its lease until ctx ends. Then it ends the
+// lease, which removes the entry.
+func (a *Announcer) Run(ctx context.Context) {
+	pause := newBackoff()
+	for ctx.Err() == nil {
+		next := renewEvery
+		if err := a.step(ctx); err != nil {
+			if ctx.Err() != nil {
+				break
+			}
+			a.log.Warn("announcement failed", zap.Error(err))
+			next = pause.NextBackOff()
+		} else {
+			pause.Reset()
+		}
+		a.wait(ctx, next)
+	}
+	a.withdraw()
+}
+
+func (a *Announcer) wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-a.lost:
+		a.held = false
+	}
+}
+
+func (a *Announcer) step(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if a.held {
+		err := a.store.Renew(ctx, a.lease)
+		if err == nil {
+			return nil
+		}
+		if !errors.Is(err, ErrLeaseEnded) {
+			return fmt.Errorf("renew the lease: %w", err)
+		}
+		a.log.Info("lease ended", zap.Uint64("lease", uint64(a.lease)))
+		a.held = false
+	}
+	lease, ttl, err := a.store.Lease(ctx, memberTTL)
+	if err != nil {
+		return fmt.Errorf("take a lease: %w", err)
+	}
+	if err := a.store.Announce(ctx, lease, a.member); err != nil {
+		return fmt.Errorf("announce the front: %w", err)
+	}
+	a.lease, a.held = lease, true
+	a.log.Info("announced", zap.Uint64("lease", uint64(lease)), zap.Duration("ttl", ttl))
+	return nil
+}
+
+func (a *Announcer) withdraw() {
+	if !a.held {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	if err := a.store.End(ctx, a.lease); err != nil {
+		a.log.Warn("lease not ended", zap.Error(err))
+		return
+	}
+	a.log.Info("withdrawn", zap.Uint64("lease", uint64(a.lease)))
+}
--- /dev/null
+++ b/snipetable/holder.go
@@ -0,0 +1,25 @@
+package snipetable
+
+import "sync/atomic"
+
+// Holder keeps the table in force. It is safe for concurrent use.
+type Holder struct {
+	current atomic.Pointer[Table]
+}
+
+// Current returns the table in force, or nil before the first one.
+func (h *Holder) Current() *Table { return h.current.Load() }
+
+// Offer puts t in force if its version is higher than the present one, and
+// reports whether it did.
+func (h *Holder) Offer(t *Table) bool {
+	for {
+		old := h.current.Load()
+		if old != nil && t.version <= old.version {
+			return false
+		}
+		if h.current.CompareAndSwap(old, t) {
+			return true
+		}
+	}
+}
