snipeconn: clear the deadline of kept connections

The peek before reuse fails once the deadline of the last request has passed. Ruled out: Keep-Alive timeouts (10 s, 43 of 5965 discards) and bytes left by chunked answers (the peek always saw EAGAIN). Change: the deadline is cleared when a connection is kept. The own cut from the store is told from an outage by its revisions.

--- a/snipeconn/exchange.go
+++ b/snipeconn/exchange.go
@@ -283,7 +283,7 @@
 		return
 	}
 	keepAlive, known := keepAliveTimeout(resp.Header)
-	if known && keepAlive <= 0 {
+	if known && keepAlive <= 0 || e.conn.SetDeadline(time.Time{}) != nil {
 		e.conn.discard()
 		return
 	}
--- a/snipefleet/registry.go
+++ b/snipefleet/registry.go
@@ -11,9 +11,11 @@
 	"github.com/snipemoor/snipemoor/snipetime"
 )
 
-// LapseGrace is how long after the store's return an entry that lapsed while it
-// was away stays in use. Live targets and fronts register again within it.
-const LapseGrace = 2 * time.Second
+// LapseGrace is how long after this front regained the store an entry that
+// lapsed while the store was away stays in use. Live targets and fronts register
+// again within about two seconds of the store's return, which the front notices
+// a little later.
+const LapseGrace = 1800 * time.Millisecond
 
 // coldTolerance is the difference between two reports of the end of a cold phase
 // that is taken for jitter of the reports.
@@ -61,15 +63,34 @@
 	r.away = true
 }
 
-// StoreBack notes that the store answers again.
-func (r *Registry) StoreBack(now snipetime.Instant) {
+// StoreBack notes that the store answers again. served says that it served the
+// others meanwhile: then no entry lapsed, and what is missing is gone.
+func (r *Registry) StoreBack(now snipetime.Instant, served bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.away {
 		return
 	}
 	r.away = false
-	r.settled = now.Add(LapseGrace)
+	r.settled = now
+	if !served {
+		r.settled = now.Add(LapseGrace)
+	}
+}
+
+// SettlesIn returns how long lapsed entries stay in use, or zero if they end
+// with the next Tick.
+func (r *Registry) SettlesIn(now snipetime.Instant) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return max(r.settled.Sub(now), 0)
+}
+
+// Size returns the number of registered targets.
+func (r *Registry) Size() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.targets)
 }
 
 // Report takes the newest report of a target and tells whether anything but its
--- a/snipesync/follower.go
+++ b/snipesync/follower.go
@@ -23,8 +23,12 @@
 	// callTimeout bounds a call, in addition to the wait that it asks for.
 	callTimeout = 1200 * time.Millisecond
 	// firstBackoff and lastBackoff bound the pause after failed calls.
-	firstBackoff = 100 * time.Millisecond
-	lastBackoff  = 900 * time.Millisecond
+	firstBackoff = 150 * time.Millisecond
+	lastBackoff  = 400 * time.Millisecond
+	// servedShare is the part of the changes expected from the targets'
+	// heartbeats above which the store is taken to have served others while it
+	// did not answer this front.
+	servedShare = 0.5
 )
 
 // Clock tells the time.
@@ -46,12 +50,15 @@
 	// own is the name of this front; lost receives when its entry is removed.
 	own  string
 	lost chan struct{}
+	// heartbeat is the time between two reports of a target.
+	heartbeat time.Duration
 }
 
 // NewFollower returns a follower for the front with the given name.
-func NewFollower(own string, store Store, registry *snipefleet.Registry, tables *snipetable.Holder, clock Clock, log *zap.Logger) *Follower {
+// heartbeat is the time between two reports of a target.
+func NewFollower(own string, heartbeat time.Duration, store Store, registry *snipefleet.Registry, tables *snipetable.Holder, clock Clock, log *zap.Logger) *Follower {
 	return &Follower{
-		store: store, registry: registry, tables: tables, clock: clock, log: log, own: own,
+		store: store, registry: registry, tables: tables, clock: clock, log: log, own: own, heartbeat: heartbeat,
 		loaded: make(chan struct{}), lost: make(chan struct{}, 1),
 	}
 }
@@ -88,12 +95,12 @@
 			continue
 		}
 		pause.Reset()
-		f.storeBack()
+		f.storeBack(at, next)
 		f.apply(changes, full)
 		at, listed = next, true
 		f.tick()
 		f.markLoaded()
-		sleep(ctx, watchPause)
+		sleep(ctx, f.pause())
 	}
 }
 
@@ -126,14 +133,37 @@
 	f.log.Warn("store lost", zap.Error(err))
 }
 
-func (f *Follower) storeBack() {
+// storeBack is called with the revisions before and after the loss.
+func (f *Follower) storeBack(before, after Revision) {
 	if !f.away {
 		return
 	}
 	f.away = false
 	now := f.clock.Now()
-	f.registry.StoreBack(now)
-	f.log.Info("store regained", zap.Duration("after", now.Sub(f.since)))
+	gone := now.Sub(f.since)
+	served := f.served(before, after, gone)
+	f.registry.StoreBack(now, served)
+	f.log.Info("store regained", zap.Duration("after", gone), zap.Uint64("revision", uint64(after)),
+		zap.Bool("servedOthers", served))
+}
+
+// served reports whether the store's history went on while it did not answer
+// this front for the given time.
+func (f *Follower) served(before, after Revision, gone time.Duration) bool {
+	if f.heartbeat <= 0 || before == 0 || after < before {
+		return false
+	}
+	expected := float64(f.registry.Size()) * float64(gone) / float64(f.heartbeat)
+	return expected > 0 && float64(after-before) > servedShare*expected
+}
+
+// pause returns the time to the next call. While lapsed entries are in use it
+// ends when they do.
+func (f *Follower) pause() time.Duration {
+	if left := f.registry.SettlesIn(f.clock.Now()); left > 0 {
+		return min(left, watchPause)
+	}
+	return watchPause
 }
 
 func (f *Follower) tick() {
