snipesync: wait long for changes; tell lapses from departures

Watches came back empty every 2 s. Ruled out: the number of revisions as a sign of the store's service to others; heartbeats do not change the revision (70 to 112 in 11 s with 56 targets). Change: after a loss, missing entries count as lapsed only where more than a quarter is missing or a known incarnation was created anew. Watches wait 25 s, with keep-alive probes on the connection.

--- a/snipefleet/registry.go
+++ b/snipefleet/registry.go
@@ -63,34 +63,60 @@
 	r.away = true
 }
 
-// StoreBack notes that the store answers again. served says that it served the
-// others meanwhile: then no entry lapsed, and what is missing is gone.
-func (r *Registry) StoreBack(now snipetime.Instant, served bool) {
+// StoreBack notes that the store answers again. Entries that are missing stay in
+// use for LapseGrace, or until Settle.
+func (r *Registry) StoreBack(now snipetime.Instant) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.away {
 		return
 	}
 	r.away = false
-	r.settled = now
-	if !served {
-		r.settled = now.Add(LapseGrace)
+	r.settled = now.Add(LapseGrace)
+}
+
+// Settle ends the grace of lapsed entries with the next Tick, because what is
+// missing left while the store served others.
+func (r *Registry) Settle(now snipetime.Instant) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.settled.After(now) {
+		r.settled = now
 	}
 }
 
-// SettlesIn returns how long lapsed entries stay in use, or zero if they end
-// with the next Tick.
-func (r *Registry) SettlesIn(now snipetime.Instant) time.Duration {
+// Lapsed returns how many of the registered targets and fronts are missing in
+// the store, and how many are registered.
+func (r *Registry) Lapsed() (missing, all int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return max(r.settled.Sub(now), 0)
+	return lapsed(r.targets) + lapsed(r.members), len(r.targets) + len(r.members)
+}
+
+func lapsed[T any](entries map[string]*entry[T]) int {
+	n := 0
+	for _, e := range entries {
+		if e.lapsed {
+			n++
+		}
+	}
+	return n
 }
 
-// Size returns the number of registered targets.
-func (r *Registry) Size() int {
+// Knows reports whether an incarnation of a target is registered.
+func (r *Registry) Knows(id string, born int64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.targets)
+	e := r.targets[id]
+	return e != nil && e.value.Born == born
+}
+
+// SettlesIn returns how long lapsed entries stay in use, or zero if they end
+// with the next Tick.
+func (r *Registry) SettlesIn(now snipetime.Instant) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return max(r.settled.Sub(now), 0)
 }
 
 // Report takes the newest report of a target and tells whether anything but its
@@ -121,7 +147,6 @@
 	} else {
 		next.heard = &heard{}
 	}
-	next.heard.at.Store(int64(now))
 	next.heard.sequence = t.Sequence
 	if old != nil && old.value.Born == t.Born {
 		if sameTarget(old.value, next) {
--- a/snipefleet/registry_test.go
+++ b/snipefleet/registry_test.go
@@ -43,7 +43,7 @@
 	r.Report(0, report("b", 1))
 	r.Join(Member{Name: "f"})
 	r.StoreAway()
-	r.StoreBack(10*second, false)
+	r.StoreBack(10 * second)
 	r.Keep(10*second, Listed{})
 	if usable(r) != 2 || len(r.View().Members()) != 1 {
 		t.Fatal("lapsed entries are not in use right after the store's return")
@@ -99,8 +99,13 @@
 	r.Report(0, report("a", 1))
 	r.Report(0, report("b", 1))
 	r.StoreAway()
-	r.StoreBack(10*second, true)
+	r.StoreBack(10 * second)
 	r.Keep(10*second, Listed{Targets: map[string]bool{"a": true}})
+	if missing, all := r.Lapsed(); missing != 1 || all != 2 {
+		t.Fatalf("Lapsed = %d of %d, want 1 of 2", missing, all)
+	}
+	r.Settle(10 * second)
+	r.Tick(10 * second)
 	if usable(r) != 1 {
 		t.Fatal("a target that left during the cut is in use")
 	}
--- a/snipefleet/types.go
+++ b/snipefleet/types.go
@@ -1,7 +1,6 @@
 package snipefleet
 
 import (
-	"sync/atomic"
 	"time"
 
 	"github.com/snipemoor/snipemoor/snipetime"
@@ -46,15 +45,12 @@
 	heard *heard
 }
 
-// heard is the part of an incarnation that changes with each report.
+// heard is the part of an incarnation that changes with each report. It is
+// guarded by the lock of the registry.
 type heard struct {
-	at       atomic.Int64
-	sequence int64 // guarded by the lock of the registry
+	sequence int64
 }
 
-// ReportedAt returns when the newest report of the incarnation was received.
-func (t *Target) ReportedAt() snipetime.Instant { return snipetime.Instant(t.heard.at.Load()) }
-
 // Member is a front.
 type Member struct {
 	Name    string
--- a/snipefront/front.go
+++ b/snipefront/front.go
@@ -62,7 +62,7 @@
 	}
 	self := snipefleet.Member{Name: s.Name, Address: s.Callers, Place: s.Place}
 	store := platform.NewStore(s.Store, s.Regions)
-	f.follower = snipesync.NewFollower(s.Name, s.Heartbeat, store, f.fleet, f.tables, f.timers, log)
+	f.follower = snipesync.NewFollower(s.Name, store, f.fleet, f.tables, f.timers, log)
 	f.announce = snipesync.NewAnnouncer(store, self, f.follower, log)
 	f.book = &book{self: self, fleet: f.fleet, ttl: min(addressTTL, s.Bounds.AddressTTL)}
 	f.gate = snipegate.New(snipegate.Dependencies{
--- a/snipeplacement/chooser.go
+++ b/snipeplacement/chooser.go
@@ -100,7 +100,10 @@
 			continue
 		}
 		s := c.state(t)
-		if s.suspect(now) || c.cold(now, v, t, q.Info) {
+		if s.suspect(now) {
+			continue
+		}
+		if c.cold(now, v, t, q.Info) {
 			if !c.trial(now, v, t, s, q.Info) {
 				refusal.worsen(ReasonCold, coldDelay)
 				continue
@@ -154,7 +157,7 @@
 func (c *Chooser) state(t *snipefleet.Target) *state {
 	s := c.states[t.ID]
 	if s == nil || s.born != t.Born {
-		s = &state{born: t.Born, reported: t.ReportedAt, service: defaultService}
+		s = &state{born: t.Born, service: defaultService}
 		c.states[t.ID] = s
 	}
 	return s
@@ -188,7 +191,6 @@
 	// failures counts the failures in a row, and failedAt is the last one.
 	failures int
 	failedAt snipetime.Instant
-	reported func() snipetime.Instant
 	// trials is the allowance for requests to a cold or suspect target.
 	trials bucket
 }
--- a/snipeplacement/cold.go
+++ b/snipeplacement/cold.go
@@ -11,27 +11,26 @@
 )
 
 const (
-	// suspectFailures is the number of failures in a row after which a target
-	// counts as down.
+	// suspectFailures is the number of failures in a row after which a target is
+	// left out.
 	suspectFailures = 2
-	// suspectRate is the rate of trials at a target that counts as down, in
-	// requests per second.
-	suspectRate = 1.0
-	// maxSuspicion ends the suspicion of a target that keeps reporting.
-	maxSuspicion = 5 * time.Second
+	// firstSuspicion is for how long; it doubles with each further failure up to
+	// lastSuspicion.
+	firstSuspicion = time.Second
+	lastSuspicion  = 4 * time.Second
 )
 
-// suspect reports whether the target counts as down: it failed, and has not
-// reported since. A target that restarts is cold, which only its report tells.
+// suspect reports whether the target is left out because requests to it failed.
+// When the suspicion ends, one request tries the target.
 func (s *state) suspect(now snipetime.Instant) bool {
 	if s.failures < suspectFailures {
 		return false
 	}
-	if s.reported().After(s.failedAt) {
-		s.failures = 0
-		return false
+	wait := lastSuspicion
+	if more := s.failures - suspectFailures; more < 8 {
+		wait = min(firstSuspicion<<more, lastSuspicion)
 	}
-	return now.Sub(s.failedAt) < maxSuspicion
+	return now.Sub(s.failedAt) < wait || s.inFlight > 0
 }
 
 // cold reports whether a target is cold, or can be: after an evacuation a target
@@ -47,18 +46,11 @@
 	return ok && now.Sub(at) < info.ColdFor
 }
 
-// trial reports whether this front may send a request to a cold or suspect
-// target now. One front for each target sends such requests, so that the sum
-// over all fronts stays under the rate that the target bears.
+// trial reports whether this front may send a request to a cold target now. One
+// front for each target sends to it, so that the sum over all fronts stays under
+// the rate that the target bears.
 func (c *Chooser) trial(now snipetime.Instant, v *snipefleet.View, t *snipefleet.Target, s *state, info *snipetable.Service) bool {
-	if sender(v.Members(), t) != c.name {
-		return false
-	}
-	rate := suspectRate
-	if !s.suspect(now) && info != nil {
-		rate = info.ColdRate
-	}
-	return s.trials.take(now, rate)
+	return sender(v.Members(), t) == c.name && s.trials.take(now, info.ColdRate)
 }
 
 // sender returns the name of the front that sends to a cold target: one of the
--- a/snipesync/follower.go
+++ b/snipesync/follower.go
@@ -18,17 +18,19 @@
 	// watchPause is the time between two watches. It is a third of the shortest
 	// bound within which a change has to be in force.
 	watchPause = 700 * time.Millisecond
-	// watchWait bounds the wait of the store for a change.
-	watchWait = 2 * time.Second
+	// watchWait bounds the wait of the store for a change. The longer, the fewer
+	// calls; a silent connection is found by its keep-alive probes.
+	watchWait = 25 * time.Second
 	// callTimeout bounds a call, in addition to the wait that it asks for.
 	callTimeout = 1200 * time.Millisecond
 	// firstBackoff and lastBackoff bound the pause after failed calls.
 	firstBackoff = 150 * time.Millisecond
 	lastBackoff  = 400 * time.Millisecond
-	// servedShare is the part of the changes expected from the targets'
-	// heartbeats above which the store is taken to have served others while it
-	// did not answer this front.
-	servedShare = 0.5
+	// lapsedShare is the part of the known entries that has to be missing after
+	// an outage for them to count as lapsed.
+	lapsedShare = 0.25
+	// minLapsed keeps a few departures in a small fleet from counting as lapses.
+	minLapsed = 3
 )
 
 // Clock tells the time.
@@ -50,15 +52,12 @@
 	// own is the name of this front; lost receives when its entry is removed.
 	own  string
 	lost chan struct{}
-	// heartbeat is the time between two reports of a target.
-	heartbeat time.Duration
 }
 
 // NewFollower returns a follower for the front with the given name.
-// heartbeat is the time between two reports of a target.
-func NewFollower(own string, heartbeat time.Duration, store Store, registry *snipefleet.Registry, tables *snipetable.Holder, clock Clock, log *zap.Logger) *Follower {
+func NewFollower(own string, store Store, registry *snipefleet.Registry, tables *snipetable.Holder, clock Clock, log *zap.Logger) *Follower {
 	return &Follower{
-		store: store, registry: registry, tables: tables, clock: clock, log: log, own: own, heartbeat: heartbeat,
+		store: store, registry: registry, tables: tables, clock: clock, log: log, own: own,
 		loaded: make(chan struct{}), lost: make(chan struct{}, 1),
 	}
 }
@@ -95,8 +94,7 @@
 			continue
 		}
 		pause.Reset()
-		f.storeBack(at, next)
-		f.apply(changes, full)
+		f.take(at, changes, full)
 		at, listed = next, true
 		f.tick()
 		f.markLoaded()
@@ -133,28 +131,35 @@
 	f.log.Warn("store lost", zap.Error(err))
 }
 
-// storeBack is called with the revisions before and after the loss.
-func (f *Follower) storeBack(before, after Revision) {
-	if !f.away {
-		return
-	}
-	f.away = false
+func (f *Follower) storeBack() {
 	now := f.clock.Now()
-	gone := now.Sub(f.since)
-	served := f.served(before, after, gone)
-	f.registry.StoreBack(now, served)
-	f.log.Info("store regained", zap.Duration("after", gone), zap.Uint64("revision", uint64(after)),
-		zap.Bool("servedOthers", served))
+	f.away = false
+	f.registry.StoreBack(now)
+	f.log.Info("store regained", zap.Duration("after", now.Sub(f.since)))
 }
 
-// served reports whether the store's history went on while it did not answer
-// this front for the given time.
-func (f *Follower) served(before, after Revision, gone time.Duration) bool {
-	if f.heartbeat <= 0 || before == 0 || after < before {
-		return false
+// createdAnew reports whether an entry of a known incarnation was created after
+// a revision, which tells that it had lapsed.
+func (f *Follower) createdAnew(before Revision, changes []Change) bool {
+	for i := range changes {
+		c := &changes[i]
+		if c.Target != nil && c.Created > before && f.registry.Knows(c.Name, c.Target.Born) {
+			return true
+		}
 	}
-	expected := float64(f.registry.Size()) * float64(gone) / float64(f.heartbeat)
-	return expected > 0 && float64(after-before) > servedShare*expected
+	return false
+}
+
+// judge decides after a loss of the store whether the entries that are missing
+// lapsed because the store was down, or left while it served others.
+func (f *Follower) judge(createdAnew bool) {
+	missing, all := f.registry.Lapsed()
+	many := missing >= minLapsed && float64(missing) > lapsedShare*float64(all)
+	if !many && !createdAnew {
+		f.registry.Settle(f.clock.Now())
+		return
+	}
+	f.log.Info("entries lapsed", zap.Int("missing", missing), zap.Int("known", all), zap.Bool("createdAnew", createdAnew))
 }
 
 // pause returns the time to the next call. While lapsed entries are in use it
@@ -182,6 +187,18 @@
 	}
 }
 
+// take applies an answer of the store. before is the revision known so far.
+func (f *Follower) take(before Revision, changes []Change, full bool) {
+	if !f.away {
+		f.apply(changes, full)
+		return
+	}
+	f.storeBack()
+	anew := f.createdAnew(before, changes)
+	f.apply(changes, full)
+	f.judge(anew)
+}
+
 func (f *Follower) apply(changes []Change, full bool) {
 	now := f.clock.Now()
 	for i := range changes {
--- a/snipesync/store.go
+++ b/snipesync/store.go
@@ -29,6 +29,8 @@
 type Change struct {
 	// Key is the key of the store, for logs.
 	Key string
+	// Created is the revision at which the item was created.
+	Created Revision
 	// Kind and Name say what the change is about.
 	Kind Kind
 	Name string
