snipesync: end a watch when a renewal fails

Ruled out: keep-alive probes; the connection itself stays up. Change: a failed renewal ends the watch under way, and watches wait 5 s. Result: TestLostWatch guards it.

--- a/snipesync/announcer.go
+++ b/snipesync/announcer.go
@@ -24,6 +24,7 @@
 	store  Store
 	member snipefleet.Member
 	lost   <-chan struct{}
+	doubt  func()
 	log    *zap.Logger
 	lease  LeaseID
 	held   bool
@@ -32,7 +33,7 @@
 // NewAnnouncer returns an announcer of m. The follower tells it when the entry
 // was removed by another.
 func NewAnnouncer(store Store, m snipefleet.Member, f *Follower, log *zap.Logger) *Announcer {
-	return &Announcer{store: store, member: m, lost: f.lost, log: log}
+	return &Announcer{store: store, member: m, lost: f.lost, doubt: f.Doubt, log: log}
 }
 
 // Run announces the front and renews its lease until ctx ends. Then it ends the
@@ -46,6 +47,7 @@
 				break
 			}
 			a.log.Warn("announcement failed", zap.Error(err))
+			a.doubt()
 			next = pause.NextBackOff()
 		} else {
 			pause.Reset()
--- /dev/null
+++ b/snipesync/fakes_test.go
@@ -0,0 +1,147 @@
+package snipesync
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/snipemoor/snipemoor/snipefleet"
+	"github.com/snipemoor/snipemoor/snipetable"
+	"github.com/snipemoor/snipemoor/snipetime"
+)
+
+// fakeStore answers calls from a script.
+type fakeStore struct {
+	mu      sync.Mutex
+	changes []Change
+	at      Revision
+	listErr error
+	// silent makes watches wait until their context ends.
+	silent bool
+	// renewErr is the error of renewals.
+	renewErr  error
+	listed    int
+	watched   int
+	changed   chan struct{}
+	announced []LeaseID
+	ended     []LeaseID
+	leases    LeaseID
+}
+
+func newFakeStore() *fakeStore { return &fakeStore{changed: make(chan struct{}), at: 1} }
+
+func (s *fakeStore) update(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *fakeStore) List(context.Context) ([]Change, Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listed++
+	return s.changes, s.at, s.listErr
+}
+
+func (s *fakeStore) Watch(ctx context.Context, after Revision, wait time.Duration) ([]Change, Revision, error) {
+	timeout := time.NewTimer(wait)
+	defer timeout.Stop()
+	s.update(func() { s.watched++ })
+	for {
+		s.mu.Lock()
+		silent, at, changes, changed := s.silent, s.at, s.changes, s.changed
+		s.mu.Unlock()
+		if !silent && at > after {
+			return changes, at, nil
+		}
+		if silent {
+			<-ctx.Done()
+			return nil, 0, ctx.Err()
+		}
+		select {
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		case <-timeout.C:
+			return nil, after, nil
+		case <-changed:
+		}
+	}
+}
+
+func (s *fakeStore) Lease(context.Context, time.Duration) (LeaseID, time.Duration, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leases++
+	return s.leases, time.Second, nil
+}
+
+func (s *fakeStore) Renew(context.Context, LeaseID) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.renewErr
+}
+
+func (s *fakeStore) End(_ context.Context, l LeaseID) error {
+	s.update(func() { s.ended = append(s.ended, l) })
+	return nil
+}
+
+func (s *fakeStore) Announce(_ context.Context, l LeaseID, _ snipefleet.Member) error {
+	s.update(func() { s.announced = append(s.announced, l) })
+	return nil
+}
+
+// await waits until a condition on the store's state holds.
+func (s *fakeStore) await(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	limit := time.NewTimer(10 * time.Second)
+	defer limit.Stop()
+	for {
+		s.mu.Lock()
+		ok, changed := holds(), s.changed
+		s.mu.Unlock()
+		if ok {
+			return
+		}
+		select {
+		case <-changed:
+		case <-limit.C:
+			t.Fatalf("timeout: %s", what)
+		}
+	}
+}
+
+// rig is a follower with what it feeds.
+type rig struct {
+	store    *fakeStore
+	fleet    *snipefleet.Registry
+	tables   *snipetable.Holder
+	follower *Follower
+	clock    *snipetime.Service
+}
+
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	r := &rig{store: newFakeStore(), fleet: snipefleet.New(), tables: &snipetable.Holder{}, clock: snipetime.New()}
+	t.Cleanup(r.clock.Close)
+	r.follower = NewFollower("own", r.store, r.fleet, r.tables, r.clock, zap.NewNop())
+	return r
+}
+
+func table(t *testing.T, version uint64) Change {
+	t.Helper()
+	out, err := snipetable.New(version, nil, nil, snipetable.Limits{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return Change{Kind: KindTable, Table: out}
+}
+
+func targetChange(id string, born int64, created Revision) Change {
+	return Change{Kind: KindTarget, Name: id, Created: created, Target: &snipefleet.TargetReport{ID: id, Service: "s", Born: born}}
+}
--- a/snipesync/follower.go
+++ b/snipesync/follower.go
@@ -19,8 +19,10 @@
 	// bound within which a change has to be in force.
 	watchPause = 700 * time.Millisecond
 	// watchWait bounds the wait of the store for a change. The longer, the fewer
-	// calls; a silent connection is found by its keep-alive probes.
-	watchWait = 25 * time.Second
+	// calls, and the later a lost answer shows.
+	watchWait = 5 * time.Second
+	// awayWait replaces it while the store does not answer.
+	awayWait = 300 * time.Millisecond
 	// callTimeout bounds a call, in addition to the wait that it asks for.
 	callTimeout = 1200 * time.Millisecond
 	// firstBackoff and lastBackoff bound the pause after failed calls.
@@ -52,13 +54,15 @@
 	// own is the name of this front; lost receives when its entry is removed.
 	own  string
 	lost chan struct{}
+	// doubt receives when another call to the store failed.
+	doubt chan struct{}
 }
 
 // NewFollower returns a follower for the front with the given name.
 func NewFollower(own string, store Store, registry *snipefleet.Registry, tables *snipetable.Holder, clock Clock, log *zap.Logger) *Follower {
 	return &Follower{
 		store: store, registry: registry, tables: tables, clock: clock, log: log, own: own,
-		loaded: make(chan struct{}), lost: make(chan struct{}, 1),
+		loaded: make(chan struct{}), lost: make(chan struct{}, 1), doubt: make(chan struct{}, 1),
 	}
 }
 
@@ -116,9 +120,42 @@
 }
 
 func (f *Follower) watch(ctx context.Context, at Revision) ([]Change, Revision, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
+	wait := watchWait
+	if f.away {
+		wait = awayWait
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
-	return f.store.Watch(ctx, at, watchWait) //nolint:wrapcheck // logged with its context by Run
+	stop := f.endOnDoubt(cancel)
+	defer stop()
+	return f.store.Watch(ctx, at, wait) //nolint:wrapcheck // logged with its context by Run
+}
+
+// Doubt tells the follower that another call to the store failed. The watch in
+// progress ends, because its answer can be lost too.
+func (f *Follower) Doubt() {
+	select {
+	case f.doubt <- struct{}{}:
+	default:
+	}
+}
+
+// endOnDoubt cancels a watch at the next Doubt, until the returned function is
+// called.
+func (f *Follower) endOnDoubt(cancel func()) (stop func()) {
+	done := make(chan struct{})
+	select {
+	case <-f.doubt: // about a time before the watch
+	default:
+	}
+	go func() {
+		select {
+		case <-f.doubt:
+			cancel()
+		case <-done:
+		}
+	}()
+	return func() { close(done) }
 }
 
 func (f *Follower) storeAway(err error) {
--- /dev/null
+++ b/snipesync/follower_test.go
@@ -0,0 +1,122 @@
+package snipesync
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/snipemoor/snipemoor/snipefleet"
+)
+
+// TestLostWatch guards against an old configuration in force because the answer
+// to a watch was lost while the store was away.
+func TestLostWatch(t *testing.T) {
+	r := newRig(t)
+	r.store.changes = []Change{table(t, 1)}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.follower.Run(ctx)
+	}()
+	r.store.await(t, "first watch", func() bool { return r.store.watched == 1 })
+	<-r.follower.Loaded()
+	r.store.update(func() { r.store.silent = true })
+	// The watch under way was answered normally or is silent now; a failing
+	// renewal has to end it.
+	r.store.await(t, "silent watch", func() bool { return r.store.watched >= 1 })
+	r.store.update(func() {
+		r.store.silent = false
+		r.store.at, r.store.changes = 2, []Change{table(t, 2)}
+	})
+	doubted := time.Now()
+	r.follower.Doubt()
+	r.store.await(t, "version 2 in force", func() bool { return r.tables.Current().Version() == 2 || r.store.watched > 2 })
+	cancel()
+	<-done
+	if got := r.tables.Current().Version(); got != 2 {
+		t.Errorf("version %d in force, want 2", got)
+	}
+	if took := time.Since(doubted); took > watchWait/2 {
+		t.Errorf("the watch ended after %v", took)
+	}
+}
+
+// TestJudge guards against use of targets that left while this front was cut
+// off, and against dropping targets whose entries lapsed in an outage.
+func TestJudge(t *testing.T) {
+	const known = 20
+	cases := map[string]struct {
+		missing int
+		// anew is a known target whose entry was created after the loss.
+		anew bool
+		want int
+	}{
+		"few left":           {missing: 4, want: known - 4},
+		"nothing left":       {missing: 0, want: known},
+		"many lapsed":        {missing: 8, want: known},
+		"one came back":      {missing: 4, anew: true, want: known},
+		"all but one lapsed": {missing: known - 1, want: known},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			var all []Change
+			for i := range known {
+				all = append(all, targetChange(fmt.Sprint(i), 1, 5))
+			}
+			r.follower.take(1, all, true)
+			r.follower.storeAway(errors.New("cut"))
+			left := all[tc.missing:]
+			if tc.anew {
+				left[0].Created = 30
+			}
+			r.follower.take(20, left, true)
+			r.follower.tick()
+			if got := len(r.fleet.View().Targets("s")); got != tc.want {
+				t.Errorf("%d targets in use, want %d", got, tc.want)
+			}
+		})
+	}
+}
+
+// TestUnreadable guards against one unreadable item that spoils the others.
+func TestUnreadable(t *testing.T) {
+	r := newRig(t)
+	bad := errors.New("bad")
+	r.follower.take(1, []Change{
+		{Kind: KindTable, Unreadable: bad},
+		{Kind: KindTarget, Name: "x", Unreadable: bad},
+		targetChange("a", 1, 2),
+		table(t, 4),
+		{Kind: KindMember, Name: "m", Unreadable: bad},
+	}, true)
+	if len(r.fleet.View().Targets("s")) != 1 || r.tables.Current().Version() != 4 {
+		t.Error("readable items were not taken")
+	}
+}
+
+// TestAnnounceAgain guards against a front that stays unannounced after its
+// entry was removed, and against an entry that outlives the front.
+func TestAnnounceAgain(t *testing.T) {
+	r := newRig(t)
+	a := NewAnnouncer(r.store, snipefleet.Member{Name: "own"}, r.follower, zap.NewNop())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		a.Run(ctx)
+	}()
+	r.store.await(t, "first announcement", func() bool { return len(r.store.announced) == 1 })
+	r.follower.take(1, []Change{{Kind: KindMember, Name: "own", Gone: true}}, false)
+	r.store.await(t, "second announcement", func() bool { return len(r.store.announced) == 2 })
+	cancel()
+	<-done
+	if n := len(r.store.ended); n != 1 || r.store.ended[0] != r.store.announced[1] {
+		t.Errorf("ended leases %v, announced under %v", r.store.ended, r.store.announced)
+	}
+}
