--- a/snipesync/follower.go
+++ b/snipesync/follower.go
@@ -18,9 +18,10 @@
 	// watchPause is the time between two watches. It is a third of the shortest
 	// bound within which a change has to be in force.
 	watchPause = 700 * time.Millisecond
-	// watchWait bounds the wait of the store for a change. The longer, the fewer
-	// calls, and the later a lost answer shows.
-	watchWait = 5 * time.Second
+	// watchWait bounds the wait of the store for a change. A store that loses its
+	// history, or an answer, can leave a watch waiting although there are changes,
+	// so the wait has to stay under the bounds on changes.
+	watchWait = 2 * time.Second
 	// awayWait replaces it while the store does not answer.
 	awayWait = 300 * time.Millisecond
 	// callTimeout bounds a call, in addition to the wait that it asks for.
