snipeplacement: keep uploads near, spill only into free slots

Change: uploads weigh targets of the own domain higher, and the second target of an object takes it only into a free slot.

--- a/snipeplacement/chooser.go
+++ b/snipeplacement/chooser.go
@@ -14,11 +14,23 @@
 const (
 	// setSize is the number of targets to which an object belongs.
 	setSize = 2
-	// fillFactor is the load at which a target takes no more, in units of its
-	// slots.
-	fillFactor = 2.0
+	// firstFill is the load at which the first target of an object takes no more,
+	// in units of its slots: one request in each slot and one that waits for it.
+	firstFill = 2.0
+	// furtherFill is that of the others. They take the object only where a slot is
+	// free, since objects that spread cool the caches.
+	furtherFill = 1.0
 )
 
+// fill returns the fill of the target with the given rank among those of an
+// object; 1 is the first.
+func fill(rank int) float64 {
+	if rank <= 1 {
+		return firstFill
+	}
+	return furtherFill
+}
+
 // Reason is why a request is refused, as logs and metrics name it.
 type Reason string
 
@@ -92,7 +104,7 @@
 	defer c.mu.Unlock()
 	refusal := Refusal{Reason: ReasonNoTarget, RetryAfter: noTargetDelay}
 	considered := 0
-	for _, t := range c.ranks.order(v, q.Service, q.Object) {
+	for _, t := range c.ranks.order(v, q.Service, q.Object, q.Route.Kind == snipetable.Upload) {
 		if considered == setSize {
 			break
 		}
@@ -112,7 +124,7 @@
 			return t, nil
 		}
 		considered++
-		room := fillFactor*float64(t.Slots) - s.load(now)
+		room := fill(considered)*float64(t.Slots) - s.load(now)
 		if room < 1 {
 			refusal.worsen(ReasonFull, s.freeIn(t, 1-room))
 			continue
--- a/snipeplacement/rank.go
+++ b/snipeplacement/rank.go
@@ -15,7 +15,10 @@
 const maxCachedRanks = 4096
 
 // rankKey names the object of a ranking.
-type rankKey struct{ service, object string }
+type rankKey struct {
+	service, object string
+	bulky           bool
+}
 
 // ranks caches the order of targets for objects, as long as the view stays.
 type ranks struct {
@@ -26,15 +29,20 @@
 
 // order returns the targets of a service in the order in which the object
 // prefers them.
-func (r *ranks) order(v *snipefleet.View, service, object string) []*snipefleet.Target {
+// Requests with large bodies keep to the own failure domain.
+func (r *ranks) order(v *snipefleet.View, service, object string, bulky bool) []*snipefleet.Target {
 	if r.view != v || len(r.orders) >= maxCachedRanks {
 		r.view = v
 		r.orders = make(map[rankKey][]*snipefleet.Target)
 	}
-	key := rankKey{service, object}
+	key := rankKey{service, object, bulky}
 	order, ok := r.orders[key]
 	if !ok {
-		order = rank(r.own, v.Targets(service), object)
+		near := plainWeights
+		if bulky {
+			near = bulkyWeights
+		}
+		order = rank(r.own, v.Targets(service), object, near)
 		r.orders[key] = order
 	}
 	return order
@@ -48,10 +56,10 @@
 
 // rank orders targets by weighted rendezvous hashing. The share of objects that
 // have a target first is proportional to its weight.
-func rank(own snipefleet.Place, targets []*snipefleet.Target, object string) []*snipefleet.Target {
+func rank(own snipefleet.Place, targets []*snipefleet.Target, object string, near weights) []*snipefleet.Target {
 	list := make([]scored, len(targets))
 	for i, t := range targets {
-		list[i] = scored{t, -math.Log(uniform(t.ID, object)) / weight(own, t)}
+		list[i] = scored{t, -math.Log(uniform(t.ID, object)) / near.of(own, t)}
 	}
 	slices.SortFunc(list, func(a, b scored) int { return cmp.Compare(a.distance, b.distance) })
 	order := make([]*snipefleet.Target, len(list))
@@ -73,17 +81,24 @@
 	return (float64(d.Sum64()>>(64-bits)) + 0.5) / (1 << bits)
 }
 
-// Weights of a target by its distance, in units of its slots. A target in
-// another region costs a round trip and bytes between regions.
-const (
-	ownRegionWeight   = 1.0
-	otherRegionWeight = 0.25
+// weights are the weights of a target's slots by its distance.
+type weights struct{ ownDomain, ownRegion, otherRegion float64 }
+
+// A target in another region costs a round trip and bytes between regions. Bytes
+// between failure domains count for large bodies only.
+var (
+	plainWeights = weights{ownDomain: 1, ownRegion: 1, otherRegion: 0.25}      //nolint:gochecknoglobals // a constant
+	bulkyWeights = weights{ownDomain: 1, ownRegion: 0.05, otherRegion: 0.0005} //nolint:gochecknoglobals // a constant
 )
 
-func weight(own snipefleet.Place, t *snipefleet.Target) float64 {
-	w := float64(max(t.Slots, 1))
-	if t.Place.Region == own.Region {
-		return w * ownRegionWeight
+func (w weights) of(own snipefleet.Place, t *snipefleet.Target) float64 {
+	slots := float64(max(t.Slots, 1))
+	switch {
+	case t.Place.Domain == own.Domain:
+		return slots * w.ownDomain
+	case t.Place.Region == own.Region:
+		return slots * w.ownRegion
+	default:
+		return slots * w.otherRegion
 	}
-	return w * otherRegionWeight
 }
