--- a/snipefront/front.go
+++ b/snipefront/front.go
@@ -90,7 +90,7 @@
 // Parts of the platform's retry bound that one front spends. The rest is room
 // for the difference between the windows of the bound and the budget.
 const (
-	retryRatioShare   = 0.5
+	retryRatioShare   = 0.9
 	retryMinimumShare = 0.02
 )
 
