snipeplacement: weigh targets by the capacity of their cell

Change: a cell without enough capacity for its share of the demand passes objects on, uploads to where capacity is spare.

--- a/snipeplacement/chooser.go
+++ b/snipeplacement/chooser.go
@@ -102,37 +102,61 @@
 func (c *Chooser) Choose(now snipetime.Instant, v *snipefleet.View, q *Query) (*snipefleet.Target, *Refusal) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	refusal := Refusal{Reason: ReasonNoTarget, RetryAfter: noTargetDelay}
-	considered := 0
-	for _, t := range c.ranks.order(v, q.Service, q.Object, q.Route.Kind == snipetable.Upload) {
-		if considered == setSize {
-			break
-		}
-		if !q.Route.AllowsRegion(t.Place.Region) || slices.Contains(q.Tried, t) {
-			continue
+	search := search{c: c, now: now, view: v, query: q, refusal: Refusal{Reason: ReasonNoTarget, RetryAfter: noTargetDelay}}
+	bulky := q.Route.Kind == snipetable.Upload
+	t := search.among(c.ranks.of(v, rankKey{q.Service, q.Object, bulky}))
+	if t == nil {
+		return nil, &search.refusal
+	}
+	c.state(t).inFlight++
+	return t, nil
+}
+
+// search looks for a target with room among those of an object.
+type search struct {
+	c          *Chooser
+	now        snipetime.Instant
+	view       *snipefleet.View
+	query      *Query
+	considered int
+	refusal    Refusal
+}
+
+func (s *search) among(targets []*snipefleet.Target) *snipefleet.Target {
+	for _, t := range targets {
+		if s.considered == setSize {
+			return nil
 		}
-		s := c.state(t)
-		if s.suspect(now) {
+		if !s.query.Route.AllowsRegion(t.Place.Region) || slices.Contains(s.query.Tried, t) {
 			continue
 		}
-		if c.cold(now, v, t, q.Info) {
-			if !c.trial(now, v, t, s, q.Info) {
-				refusal.worsen(ReasonCold, coldDelay)
-				continue
-			}
-			s.inFlight++
-			return t, nil
+		if s.fits(t) {
+			return t
 		}
-		considered++
-		room := fill(considered)*float64(t.Slots) - s.load(now)
-		if room < 1 {
-			refusal.worsen(ReasonFull, s.freeIn(t, 1-room))
-			continue
+	}
+	return nil
+}
+
+// fits reports whether a target takes the request now.
+func (s *search) fits(t *snipefleet.Target) bool {
+	state := s.c.state(t)
+	if state.suspect(s.now) {
+		return false
+	}
+	if s.c.cold(s.now, s.view, t, s.query.Info) {
+		if s.c.trial(s.now, s.view, t, state, s.query.Info) {
+			return true
 		}
-		s.inFlight++
-		return t, nil
+		s.refusal.worsen(ReasonCold, coldDelay)
+		return false
+	}
+	s.considered++
+	room := fill(s.considered)*float64(t.Slots) - state.load(s.now)
+	if room < 1 {
+		s.refusal.worsen(ReasonFull, state.freeIn(t, 1-room))
+		return false
 	}
-	return nil, &refusal
+	return true
 }
 
 // worsen replaces the reason and keeps the shortest delay of one reason.
--- a/snipeplacement/cold.go
+++ b/snipeplacement/cold.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/snipemoor/snipemoor/snipefleet"
 	"github.com/snipemoor/snipemoor/snipetable"
 	"github.com/snipemoor/snipemoor/snipetime"
@@ -71,16 +69,6 @@
 	return name
 }
 
-func pairHash(a, b string) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	// Writes to a digest do not fail.
-	_, _ = d.WriteString(a)
-	_, _ = d.WriteString("\x00")
-	_, _ = d.WriteString(b)
-	return d.Sum64()
-}
-
 // bucket is a token bucket of capacity one. It starts full.
 type bucket struct {
 	used bool
--- a/snipeplacement/rank.go
+++ b/snipeplacement/rank.go
@@ -20,32 +20,49 @@
 	bulky           bool
 }
 
-// ranks caches the order of targets for objects, as long as the view stays.
+// ranks caches rankings as long as the view stays.
 type ranks struct {
 	own    snipefleet.Place
 	view   *snipefleet.View
 	orders map[rankKey][]*snipefleet.Target
+	cells  map[cellsKey]cells
 }
 
-// order returns the targets of a service in the order in which the object
-// prefers them.
-// Requests with large bodies keep to the own failure domain.
-func (r *ranks) order(v *snipefleet.View, service, object string, bulky bool) []*snipefleet.Target {
+// cellsKey names the cells of a service.
+type cellsKey struct {
+	service string
+	bulky   bool
+}
+
+func (r *ranks) reset(v *snipefleet.View) {
+	r.view = v
+	r.orders = make(map[rankKey][]*snipefleet.Target)
+	r.cells = make(map[cellsKey]cells)
+}
+
+// of returns the ranking of an object among the targets of a service.
+func (r *ranks) of(v *snipefleet.View, key rankKey) []*snipefleet.Target {
 	if r.view != v || len(r.orders) >= maxCachedRanks {
-		r.view = v
-		r.orders = make(map[rankKey][]*snipefleet.Target)
+		r.reset(v)
+	}
+	found := r.orders[key]
+	if found == nil {
+		found = rank(r.own, v.Targets(key.service), r.cellsOf(v, cellsKey{key.service, key.bulky}), key)
+		r.orders[key] = found
 	}
-	key := rankKey{service, object, bulky}
-	order, ok := r.orders[key]
+	return found
+}
+
+func (r *ranks) cellsOf(v *snipefleet.View, key cellsKey) cells {
+	if r.view != v {
+		r.reset(v)
+	}
+	c, ok := r.cells[key]
 	if !ok {
-		near := plainWeights
-		if bulky {
-			near = bulkyWeights
-		}
-		order = rank(r.own, v.Targets(service), object, near)
-		r.orders[key] = order
+		c = newCells(v, key.service, r.own, key.bulky)
+		r.cells[key] = c
 	}
-	return order
+	return c
 }
 
 // scored is a target with its distance to an object.
@@ -54,51 +71,99 @@
 	distance float64
 }
 
-// rank orders targets by weighted rendezvous hashing. The share of objects that
-// have a target first is proportional to its weight.
-func rank(own snipefleet.Place, targets []*snipefleet.Target, object string, near weights) []*snipefleet.Target {
+// rank orders targets by weighted rendezvous hashing: the part of the objects
+// that have a target first is proportional to its weight.
+func rank(own snipefleet.Place, targets []*snipefleet.Target, c cells, key rankKey) []*snipefleet.Target {
+	weights := plainWeights(own, targets, c)
+	if key.bulky {
+		weights = bulkyWeights(own, targets, c)
+	}
 	list := make([]scored, len(targets))
 	for i, t := range targets {
-		list[i] = scored{t, -math.Log(uniform(t.ID, object)) / near.of(own, t)}
+		list[i] = scored{t, -math.Log(uniform(t.ID, key.object)) / weights[i]}
 	}
+	return sorted(list)
+}
+
+// otherRegionWeight is the weight of a slot in another region, where one in a
+// region with enough capacity of its own has 1. Objects of a region spread over
+// all of them, because the peaks of the regions come at different times.
+const otherRegionWeight = 0.25
+
+func plainWeights(own snipefleet.Place, targets []*snipefleet.Target, c cells) []float64 {
+	weights := make([]float64, len(targets))
+	keep := c.keep(own.Region)
+	for i, t := range targets {
+		weights[i] = float64(max(t.Slots, 1)) * otherRegionWeight
+		if t.Place.Region == own.Region {
+			weights[i] = float64(max(t.Slots, 1)) * keep
+		}
+	}
+	return weights
+}
+
+const (
+	// farBulkyWeight is the weight of a slot in another region for large bodies,
+	// where one in another failure domain of the own region has 1.
+	farBulkyWeight = 0.2
+	// maxKept bounds the part of the objects with large bodies that stays in the
+	// own failure domain, so that each has a further target elsewhere.
+	maxKept = 0.99
+)
+
+// bulkyWeights keeps in the own failure domain what its capacity bears, and
+// passes on the rest to where there is spare capacity, near first.
+func bulkyWeights(own snipefleet.Place, targets []*snipefleet.Target, c cells) []float64 {
+	weights := make([]float64, len(targets))
+	inside, outside := 0.0, 0.0
+	for i, t := range targets {
+		slots := float64(max(t.Slots, 1))
+		switch {
+		case t.Place.Domain == own.Domain:
+			weights[i] = slots
+			inside += slots
+			continue
+		case t.Place.Region == own.Region:
+			weights[i] = slots * c.spare(t.Place.Domain)
+		default:
+			weights[i] = slots * c.spare(t.Place.Domain) * farBulkyWeight
+		}
+		outside += weights[i]
+	}
+	kept := min(c.share(own.Domain), maxKept)
+	if inside == 0 || outside == 0 || kept == 0 {
+		return weights
+	}
+	scale := kept / (1 - kept) * outside / inside
+	for i, t := range targets {
+		if t.Place.Domain == own.Domain {
+			weights[i] *= scale
+		}
+	}
+	return weights
+}
+
+func sorted(list []scored) []*snipefleet.Target {
 	slices.SortFunc(list, func(a, b scored) int { return cmp.Compare(a.distance, b.distance) })
-	order := make([]*snipefleet.Target, len(list))
+	out := make([]*snipefleet.Target, len(list))
 	for i, s := range list {
-		order[i] = s.target
+		out[i] = s.target
 	}
-	return order
+	return out
 }
 
-// uniform maps a target and an object to a number in (0, 1).
-func uniform(id, object string) float64 {
+// uniform maps a name and an object to a number in (0, 1).
+func uniform(name, object string) float64 {
+	const bits = 53
+	return (float64(pairHash(name, object)>>(64-bits)) + 0.5) / (1 << bits)
+}
+
+func pairHash(a, b string) uint64 {
 	var d xxhash.Digest
 	d.Reset()
 	// Writes to a digest do not fail.
-	_, _ = d.WriteString(id)
+	_, _ = d.WriteString(a)
 	_, _ = d.WriteString("\x00")
-	_, _ = d.WriteString(object)
-	const bits = 53
-	return (float64(d.Sum64()>>(64-bits)) + 0.5) / (1 << bits)
-}
-
-// weights are the weights of a target's slots by its distance.
-type weights struct{ ownDomain, ownRegion, otherRegion float64 }
-
-// A target in another region costs a round trip and bytes between regions. Bytes
-// between failure domains count for large bodies only.
-var (
-	plainWeights = weights{ownDomain: 1, ownRegion: 1, otherRegion: 0.25}      //nolint:gochecknoglobals // a constant
-	bulkyWeights = weights{ownDomain: 1, ownRegion: 0.05, otherRegion: 0.0005} //nolint:gochecknoglobals // a constant
-)
-
-func (w weights) of(own snipefleet.Place, t *snipefleet.Target) float64 {
-	slots := float64(max(t.Slots, 1))
-	switch {
-	case t.Place.Domain == own.Domain:
-		return slots * w.ownDomain
-	case t.Place.Region == own.Region:
-		return slots * w.ownRegion
-	default:
-		return slots * w.otherRegion
-	}
+	_, _ = d.WriteString(b)
+	return d.Sum64()
 }
