--- a/snipeplacement/rank.go
+++ b/snipeplacement/rank.go
@@ -105,7 +105,7 @@
 const (
 	// farBulkyWeight is the weight of a slot in another region for large bodies,
 	// where one in another failure domain of the own region has 1.
-	farBulkyWeight = 0.2
+	farBulkyWeight = 0.1
 	// maxKept bounds the part of the objects with large bodies that stays in the
 	// own failure domain, so that each has a further target elsewhere.
 	maxKept = 0.99
