--- a/cmd/snipemoorfront/main.go
+++ b/cmd/snipemoorfront/main.go
@@ -8,8 +8,10 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 
 	"github.com/alecthomas/kong"
@@ -28,9 +30,10 @@
 )
 
 type options struct {
-	Settings string `help:"Settings file; by default the one that the environment names."`
-	LogLevel string `help:"Least level of the log." default:"info"`
-	Check    bool   `help:"Check the settings and exit."`
+	Settings    string `help:"Settings file; by default the one that the environment names."`
+	LogLevel    string `help:"Least level of the log." default:"info"`
+	MetricsPort int    `help:"Port of the metrics on the instance's address; 0 for none." default:"0"`
+	Check       bool   `help:"Check the settings and exit."`
 }
 
 func main() {
@@ -61,7 +64,11 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	signal.Ignore(syscall.SIGHUP)
-	if err := snipefront.New(settings, log).Run(ctx); err != nil {
+	metrics := ""
+	if o.MetricsPort != 0 {
+		metrics = net.JoinHostPort(settings.IP, strconv.Itoa(o.MetricsPort))
+	}
+	if err := snipefront.New(settings, metrics, log).Run(ctx); err != nil {
 		log.Error("front failed", zap.Error(err))
 		return exitFailed
 	}
--- a/snipeconn/conn_test.go
+++ b/snipeconn/conn_test.go
@@ -215,3 +215,55 @@
 		t.Error("the connection is kept for reuse")
 	}
 }
+
+// TestHead guards against an answer to HEAD whose body is waited for.
+func TestHead(t *testing.T) {
+	address := target(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			id, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 70\r\n\r\n", idHeader, id)
+		}
+	})
+	p := New(Settings{})
+	for i := range 2 {
+		req := request(address, fmt.Sprint(i), time.Second)
+		req.Method = http.MethodHead
+		resp, err := p.Send(context.Background(), req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if resp.Length != 70 || len(resp.Body) != 0 {
+			t.Errorf("length %d, body %q", resp.Length, resp.Body)
+		}
+		resp.Close()
+	}
+	if opened, _ := p.Counts(); opened != 1 {
+		t.Errorf("opened %d connections, want 1", opened)
+	}
+}
+
+// TestHeaders guards against headers of one connection that reach the target.
+func TestHeaders(t *testing.T) {
+	r := &Request{
+		Method: "GET", URI: "/", Host: "h", HasBody: true, Body: []byte("b"),
+		Header: http.Header{
+			"Connection": {"close, X-Own"}, "X-Own": {"1"}, "Keep-Alive": {"1"}, "Expect": {"100-continue"},
+			"Content-Length": {"9"}, "Kept": {"1", "2"}, "Replaced": {"old"},
+		},
+		Extra: []Field{{"Replaced", "new"}},
+	}
+	got := r.head().String()
+	for _, unwanted := range []string{"X-Own", "Keep-Alive", "Expect", "Connection", "old", "Content-Length: 9"} {
+		if strings.Contains(got, unwanted) {
+			t.Errorf("head contains %q:\n%s", unwanted, got)
+		}
+	}
+	for _, wanted := range []string{"Kept: 1\r\n", "Kept: 2\r\n", "Replaced: new\r\n", "Content-Length: 1\r\n"} {
+		if !strings.Contains(got, wanted) {
+			t.Errorf("head lacks %q:\n%s", wanted, got)
+		}
+	}
+}
--- a/snipeconn/exchange.go
+++ b/snipeconn/exchange.go
@@ -177,8 +177,9 @@
 	b.WriteString(" HTTP/1.1\r\nHost: ")
 	b.WriteString(r.Host)
 	b.WriteString("\r\n")
+	listed := r.Header["Connection"]
 	for name, values := range r.Header {
-		if ConnectionHeader(name) || name == "Content-Length" || r.replaces(name) {
+		if ConnectionHeader(name) || name == "Content-Length" || name == "Expect" || r.replaces(name) || lists(listed, name) {
 			continue
 		}
 		for _, v := range values {
@@ -195,6 +196,19 @@
 	return b
 }
 
+// lists reports whether a Connection header names another header, which then
+// concerns one connection only.
+func lists(connection []string, name string) bool {
+	for _, line := range connection {
+		for token := range strings.SplitSeq(line, ",") {
+			if strings.EqualFold(strings.TrimSpace(token), name) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (r *Request) replaces(name string) bool {
 	for _, f := range r.Extra {
 		if f.Name == name {
@@ -251,6 +265,11 @@
 	limit := e.pools.settings.BufferedBody
 	out := &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength}
 	var err error
+	if resp.Body == http.NoBody {
+		// The length of an answer to HEAD is that of a body that is not sent.
+		e.complete(resp)
+		return out, nil
+	}
 	if n := resp.ContentLength; n >= 0 && n <= limit {
 		out.Body = make([]byte, n)
 		_, err = io.ReadFull(resp.Body, out.Body)
@@ -277,7 +296,7 @@
 // reuse.
 func (e *exchange) complete(resp *http.Response) {
 	stopped := e.end()
-	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Body == http.NoBody
 	if !stopped || !framed || resp.Close || e.conn.reader.Buffered() > 0 || !e.bodyWritten() {
 		e.conn.discard()
 		return
--- a/snipefront/front.go
+++ b/snipefront/front.go
@@ -38,6 +38,7 @@
 // Front is one process between callers and targets.
 type Front struct {
 	settings *platform.Settings
+	metrics  string
 	log      *zap.Logger
 	registry *prometheus.Registry
 
@@ -53,9 +54,10 @@
 }
 
 // New returns a front that is not running yet.
-func New(s *platform.Settings, log *zap.Logger) *Front {
+// metrics is the address on which metrics are served, or empty.
+func New(s *platform.Settings, metrics string, log *zap.Logger) *Front {
 	f := &Front{
-		settings: s, log: log, registry: prometheus.NewRegistry(),
+		settings: s, metrics: metrics, log: log, registry: prometheus.NewRegistry(),
 		timers: snipetime.New(), fleet: snipefleet.New(), tables: &snipetable.Holder{},
 		pools:   snipeconn.New(snipeconn.Settings{}),
 		chooser: snipeplacement.New(s.Name, s.Place),
@@ -108,7 +110,7 @@
 	defer f.timers.Close()
 	debug.SetMemoryLimit(int64(memoryShare * float64(f.settings.MemoryBytes)))
 	f.log.Info("start", zap.String("front", f.settings.Name), zap.String("domain", f.settings.Place.Domain),
-		zap.String("callers", f.settings.Callers), zap.String("store", f.settings.Store))
+		zap.String("callers", f.settings.Callers), zap.String("store", f.settings.Store), zap.String("metrics", f.metrics))
 	f.timers.Every(sweepEvery, func(snipetime.Instant) { f.sweep() })
 
 	var g run.Group
@@ -122,7 +124,7 @@
 	}{
 		"directory": {f.settings.Directory, platform.DirectoryHandler(f.book)},
 		"readiness": {f.settings.Readiness, platform.ReadinessHandler(f.book.open.Load)},
-		"metrics":   {f.settings.Metrics, f.metricsHandler()},
+		"metrics":   {f.metrics, f.metricsHandler()},
 	} {
 		if part.address != "" {
 			g.Add(f.serve(name, part.address, part.handler))
--- a/snipegate/attempts.go
+++ b/snipegate/attempts.go
@@ -29,6 +29,11 @@
 // attempts sends the request until it has an answer or must not be sent again.
 func (q *request) attempts() {
 	for {
+		if err := q.r.Context().Err(); err != nil {
+			q.cause = err
+			q.refuse(OutcomeCallerGone, 0)
+			return
+		}
 		t, refusal := q.choose()
 		if refusal != nil {
 			q.giveUp(refusal)
@@ -98,7 +103,7 @@
 	}
 	sent := time.Now()
 	resp, err := q.gate.Sender.Send(ctx, &snipeconn.Request{
-		Address: t.Address, Method: q.r.Method, URI: q.r.RequestURI, Host: q.r.Host, Header: q.r.Header,
+		Address: t.Address, Method: q.r.Method, URI: q.uri, Host: q.r.Host, Header: q.r.Header,
 		Extra: q.gate.Dialect.Outbound(time.Until(q.deadline), t.ID),
 		Body:  q.body, HasBody: q.r.ContentLength != 0 || q.r.Header.Get("Content-Length") != "",
 		IDHeader: q.gate.Dialect.IDHeader(), ID: q.call.ID, Deadline: q.deadline,
--- a/snipegate/gate.go
+++ b/snipegate/gate.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -142,6 +143,7 @@
 	table   *snipetable.Table
 	route   *snipetable.Route
 	service string
+	uri     string
 	body    []byte
 	// deadline ends the request.
 	deadline time.Time
@@ -177,7 +179,9 @@
 		q.refuse(OutcomeNoID, 0)
 		return false
 	}
-	q.route = q.table.Match(hostName(q.r.Host), q.r.URL.EscapedPath())
+	q.uri = requestURI(q.r)
+	path, _, _ := strings.Cut(q.uri, "?")
+	q.route = q.table.Match(hostName(q.r.Host), path)
 	if q.route == nil {
 		q.refuse(OutcomeNoRoute, 0)
 		return false
@@ -190,6 +194,15 @@
 	return true
 }
 
+// requestURI returns the path and query as the caller sent them. A caller may
+// also send an absolute URI (RFC 9112, section 3.2.2).
+func requestURI(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
 // hostName returns the host of a Host header in lower case, without the port.
 func hostName(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
@@ -198,14 +211,28 @@
 	return strings.ToLower(host)
 }
 
+// defaultBodyBytes bounds a body where the configuration states no limit.
+const defaultBodyBytes = 16 << 20
+
 func (q *request) readBody() bool {
 	if q.r.ContentLength == 0 {
 		return true
 	}
 	limit := q.table.Limits().BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	control := http.NewResponseController(q.w)
+	if err := control.SetReadDeadline(q.deadline); err != nil {
+		q.gate.Log.Warn("no deadline for a body", zap.String("request", q.call.ID), zap.Error(err))
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		q.cause = err
+		q.refuse(OutcomeBodyTimeout, 0)
+		return false
 	case errors.As(err, &tooLarge):
 		q.refuse(OutcomeBodyTooLarge, 0)
 		return false
@@ -215,6 +242,9 @@
 		return false
 	}
 	q.body = body
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
+		q.gate.Log.Warn("deadline of a body stays", zap.String("request", q.call.ID), zap.Error(err))
+	}
 	return true
 }
 
--- a/snipegate/outcome.go
+++ b/snipegate/outcome.go
@@ -19,6 +19,7 @@
 	OutcomeNoID            Outcome = "noRequestId"
 	OutcomeBodyTooLarge    Outcome = "bodyTooLarge"
 	OutcomeBodyBroken      Outcome = "bodyBroken"
+	OutcomeBodyTimeout     Outcome = "bodyTimeout"
 	OutcomeCallerGone      Outcome = "callerGone"
 	OutcomeTimeout         Outcome = "timeout"
 	OutcomeUnreachable     Outcome = "targetUnreachable"
@@ -35,6 +36,8 @@
 		return http.StatusNotFound
 	case OutcomeNoID, OutcomeBodyBroken:
 		return http.StatusBadRequest
+	case OutcomeBodyTimeout:
+		return http.StatusRequestTimeout
 	case OutcomeBodyTooLarge:
 		return http.StatusRequestEntityTooLarge
 	}
