Gate: try a passing refusal again at the same target

Change: a refusal in spite of a free slot does not exclude the target, and lets the caller return at once. The announcer logs one line for a row of failures.

--- a/snipegate/attempts.go
+++ b/snipegate/attempts.go
@@ -40,6 +40,7 @@
 			return
 		}
 		q.tried = append(q.tried, t)
+		q.excluded = append(q.excluded, t)
 		switch q.attempt(t) {
 		case final:
 			return
@@ -52,15 +53,15 @@
 		case notRun:
 		}
 		if !q.again() {
-			q.refuse(q.outcome, refusedDelay)
+			q.refuse(q.outcome, q.comeBack)
 			return
 		}
 		q.gate.Metrics.retried(q.outcome)
 	}
 }
 
-// refusedDelay is when a caller comes back after targets refused its request.
-const refusedDelay = 150 * time.Millisecond
+// fullDelay is when a caller comes back after a full target refused its request.
+const fullDelay = 150 * time.Millisecond
 
 // giveUp refuses a request for which there is no target, or no further one.
 func (q *request) giveUp(refusal *snipeplacement.Refusal) {
@@ -76,7 +77,7 @@
 		Info:    q.table.Service(q.service),
 		Route:   q.route,
 		Object:  q.call.Object,
-		Tried:   q.tried,
+		Tried:   q.excluded,
 	})
 }
 
@@ -149,7 +150,12 @@
 		q.outcome = OutcomeTargetRefused
 		return notRun
 	case s.NotRun:
-		q.outcome = OutcomeTargetRefused
+		q.outcome, q.comeBack = OutcomeTargetRefused, fullDelay
+		if hasFreeSlot(s.Load) {
+			// The next request may be served, by a target that knows the object.
+			q.excluded = q.excluded[:len(q.excluded)-1]
+			q.comeBack = minRetryAfter
+		}
 		return notRun
 	case resp.Status < http.StatusMultipleChoices && !s.Signed:
 		q.outcome = OutcomeUnsigned
@@ -167,6 +173,11 @@
 	return final
 }
 
+// hasFreeSlot reports whether a target states that a slot is free.
+func hasFreeSlot(l *snipeplacement.Load) bool {
+	return l != nil && l.Running+l.Waiting < l.Slots
+}
+
 // promisesNotRun reports whether callers take a status as a promise that their
 // request has not run.
 func promisesNotRun(status int) bool {
@@ -189,6 +200,7 @@
 	q.begun = true
 	q.gate.Metrics.retried(q.outcome)
 	q.tried = append(q.tried, t)
+	q.excluded = append(q.excluded, t)
 	if v := q.attempt(t); v != final {
 		q.pass(resp)
 	}
--- a/snipegate/gate.go
+++ b/snipegate/gate.go
@@ -148,8 +148,12 @@
 	// deadline ends the request.
 	deadline time.Time
 	tried    []*snipefleet.Target
+	// excluded are the targets that are not to be tried again.
+	excluded []*snipefleet.Target
 	begun    bool
 	reused   bool
+	// comeBack is when a caller whose request was refused comes back.
+	comeBack time.Duration
 
 	outcome Outcome
 	status  int
--- a/snipegate/gate_test.go
+++ b/snipegate/gate_test.go
@@ -180,6 +180,42 @@
 	}
 }
 
+// TestPassingRefusal guards against a request that moves to a target without
+// the object in its cache because the first refused it in spite of a free slot.
+func TestPassingRefusal(t *testing.T) {
+	for name, tc := range map[string]struct {
+		load *snipeplacement.Load
+		same bool
+	}{
+		"free": {&snipeplacement.Load{Running: 1, Slots: 4}, true},
+		"full": {&snipeplacement.Load{Running: 4, Waiting: 3, Slots: 4}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, snipetable.NonIdempotent, status(503, "Not-Run"), ok("x"))
+			r.gate.Dialect = loaded{load: tc.load}
+			w := r.call(http.MethodPost, "/", "")
+			if w.Code != http.StatusOK || len(r.script.sent) != 2 {
+				t.Fatalf("status %d after %d sends", w.Code, len(r.script.sent))
+			}
+			if same := r.script.sent[0].Address == r.script.sent[1].Address; same != tc.same {
+				t.Errorf("same target %v, want %v", same, tc.same)
+			}
+		})
+	}
+}
+
+// loaded is a dialect whose answers state a load.
+type loaded struct {
+	dialect
+	load *snipeplacement.Load
+}
+
+func (l loaded) Statement(status int, h http.Header) Statement {
+	s := l.dialect.Statement(status, h)
+	s.Load = l.load
+	return s
+}
+
 // TestRefusals guards against wrong statuses for requests that are not sent.
 func TestRefusals(t *testing.T) {
 	r := newRig(t, snipetable.Idempotent)
--- a/snipesync/announcer.go
+++ b/snipesync/announcer.go
@@ -28,6 +28,8 @@
 	log    *zap.Logger
 	lease  LeaseID
 	held   bool
+	// failures counts the failed calls in a row.
+	failures int
 }
 
 // NewAnnouncer returns an announcer of m. The follower tells it when the entry
@@ -46,10 +48,10 @@
 			if ctx.Err() != nil {
 				break
 			}
-			a.log.Warn("announcement failed", zap.Error(err))
-			a.doubt()
+			a.failed(err)
 			next = pause.NextBackOff()
 		} else {
+			a.succeeded()
 			pause.Reset()
 		}
 		a.wait(ctx, next)
@@ -57,6 +59,22 @@
 	a.withdraw()
 }
 
+// failed logs the first of a row of failures.
+func (a *Announcer) failed(err error) {
+	a.doubt()
+	if a.failures == 0 {
+		a.log.Warn("announcement lost", zap.Error(err))
+	}
+	a.failures++
+}
+
+func (a *Announcer) succeeded() {
+	if a.failures > 0 {
+		a.log.Info("announcement regained", zap.Int("failures", a.failures))
+	}
+	a.failures = 0
+}
+
 func (a *Announcer) wait(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
