--- a/snipesync/follower.go
+++ b/snipesync/follower.go
@@ -15,9 +15,9 @@
 )
 
 const (
-	// watchPause is the time between two watches. It is a third of the shortest
-	// bound within which a change has to be in force.
-	watchPause = 700 * time.Millisecond
+	// watchPause is the time between two watches. It lets one call bring many
+	// changes and stays under half of the bounds within which changes are in force.
+	watchPause = time.Second
 	// watchWait bounds the wait of the store for a change. A store that loses its
 	// history, or an answer, can leave a watch waiting although there are changes,
 	// so the wait has to stay under the bounds on changes.
