--- a/snipefront/front.go
+++ b/snipefront/front.go
@@ -70,7 +70,7 @@
 	f.gate = snipegate.New(snipegate.Dependencies{
 		Dialect: platform.Headers{}, Tables: f.tables, Fleet: f.fleet, Chooser: f.chooser,
 		Sender: f.pools, Clock: f.timers, Metrics: snipegate.NewMetrics(f.registry), Log: log,
-		Budget: budget(s.Bounds),
+		Budget: func() sniperetry.BudgetSettings { return budget(s.Bounds, len(f.fleet.View().Members())) },
 	})
 	f.registerConnections()
 	return f
@@ -89,19 +89,26 @@
 	)
 }
 
-// Parts of the platform's retry bound that one front spends. The rest is room
-// for the difference between the windows of the bound and the budget.
 const (
-	retryRatioShare   = 0.9
-	retryMinimumShare = 0.02
+	// retryRatioShare is the part of the platform's retry ratio that each front
+	// spends on its own requests. The rest is room for requests that are counted in
+	// other windows.
+	retryRatioShare = 0.9
+	// retryMinimumShare is the part of the minimum that all fronts spend together.
+	retryMinimumShare = 0.5
+	// minFronts is the number of fronts among which the minimum is divided at
+	// least, since a front that has just started may not know all others.
+	minFronts = 10
 )
 
-// budget returns the retry budget of a service on one front.
-func budget(b platform.Bounds) sniperetry.BudgetSettings {
+// budget returns the retry budget of a service on one of a number of fronts.
+func budget(b platform.Bounds, fronts int) sniperetry.BudgetSettings {
+	share := b.RetryMinimum * retryMinimumShare / float64(max(fronts, minFronts))
 	return sniperetry.BudgetSettings{
 		Ratio:            b.RetryRatio * retryRatioShare,
-		MinimumPerSecond: b.RetryMinimum * retryMinimumShare / b.RetryWindow.Seconds(),
-		Cap:              max(b.RetryMinimum*retryMinimumShare, 2),
+		MinimumPerSecond: share / max(b.RetryWindow.Seconds(), 1),
+		Cap:              max(share, 1),
+		Initial:          max(share, 1),
 	}
 }
 
--- a/snipegate/gate.go
+++ b/snipegate/gate.go
@@ -55,8 +55,8 @@
 	Clock   Clock
 	Metrics *Metrics
 	Log     *zap.Logger
-	// Budget are the parameters of the retry budget of each service.
-	Budget sniperetry.BudgetSettings
+	// Budget returns the parameters of the retry budget of a service.
+	Budget func() sniperetry.BudgetSettings
 }
 
 // Gate is the handler of the callers' requests.
@@ -126,7 +126,7 @@
 func (g *Gate) budget(service string) *sniperetry.Budget {
 	b := g.budgets[service]
 	if b == nil {
-		b = sniperetry.NewBudget(g.Budget, g.Clock.Now())
+		b = sniperetry.NewBudget(g.Budget(), g.Clock.Now())
 		g.budgets[service] = b
 	}
 	return b
--- a/snipegate/gate_test.go
+++ b/snipegate/gate_test.go
@@ -109,7 +109,9 @@
 	r.gate = New(Dependencies{
 		Dialect: dialect{}, Tables: &tables, Fleet: r.fleet, Chooser: snipeplacement.New("f", snipefleet.Place{}),
 		Sender: r.script, Clock: clock, Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(),
-		Budget: sniperetry.BudgetSettings{Ratio: 1, MinimumPerSecond: 1, Cap: 10},
+		Budget: func() sniperetry.BudgetSettings {
+			return sniperetry.BudgetSettings{Ratio: 1, MinimumPerSecond: 1, Cap: 10}
+		},
 	})
 	return r
 }
--- a/sniperetry/budget.go
+++ b/sniperetry/budget.go
@@ -21,6 +21,8 @@
 	// Cap is the largest number of tokens kept. It bounds the burst of retries
 	// after a quiet period.
 	Cap float64
+	// Initial is the number of tokens at the start.
+	Initial float64
 }
 
 func (s BudgetSettings) withDefaults() BudgetSettings {
@@ -45,13 +47,13 @@
 	last     snipetime.Instant
 }
 
-// NewBudget returns an empty budget. It panics if a setting is negative.
+// NewBudget returns a budget with its initial tokens. It panics if a setting is negative.
 func NewBudget(settings BudgetSettings, now snipetime.Instant) *Budget {
 	s := settings.withDefaults()
-	if s.Ratio < 0 || s.MinimumPerSecond < 0 || s.Cap < 0 {
+	if s.Ratio < 0 || s.MinimumPerSecond < 0 || s.Cap < 0 || s.Initial < 0 {
 		panic("sniperetry: negative budget setting")
 	}
-	return &Budget{settings: s, last: now}
+	return &Budget{settings: s, tokens: min(s.Initial, s.Cap), last: now}
 }
 
 // FirstAttempt adds the share of one first attempt.
