--- a/snipeconn/failure.go
+++ b/snipeconn/errors.go
@@ -19,8 +19,8 @@
 	CauseMalformed Cause = "malformedAnswer"
 )
 
-// Failure is a request without a complete answer.
-type Failure struct {
+// Error is a request without a complete answer.
+type Error struct {
 	// Begun says whether the target can have begun the request. If it is false,
 	// the target has not and never will.
 	Begun bool
@@ -31,13 +31,13 @@
 }
 
 // Error implements error.
-func (f *Failure) Error() string {
+func (e *Error) Error() string {
 	state := "not begun"
-	if f.Begun {
+	if e.Begun {
 		state = "can have begun"
 	}
-	return fmt.Sprintf("%s (%s): %v", f.Cause, state, f.Err)
+	return fmt.Sprintf("%s (%s): %v", e.Cause, state, e.Err)
 }
 
 // Unwrap returns the underlying error.
-func (f *Failure) Unwrap() error { return f.Err }
+func (e *Error) Unwrap() error { return e.Err }
--- a/snipegate/attempts.go
+++ b/snipegate/attempts.go
@@ -117,7 +117,7 @@
 }
 
 func (q *request) failed(t *snipefleet.Target, sent time.Time, err error) verdict {
-	failure := &snipeconn.Failure{Begun: true, Cause: snipeconn.CauseLost, Err: err}
+	failure := &snipeconn.Error{Begun: true, Cause: snipeconn.CauseLost, Err: err}
 	errors.As(err, &failure)
 	q.cause = failure
 	result := snipeplacement.Result{Latency: time.Since(sent)}
--- a/snipegate/outcome.go
+++ b/snipegate/outcome.go
@@ -40,6 +40,7 @@
 		return http.StatusRequestTimeout
 	case OutcomeBodyTooLarge:
 		return http.StatusRequestEntityTooLarge
+	default:
 	}
 	switch {
 	case !begun:
--- a/snipeplacement/chooser.go
+++ b/snipeplacement/chooser.go
@@ -106,7 +106,8 @@
 	bulky := q.Route.Kind == snipetable.Upload
 	t := search.among(c.ranks.of(v, rankKey{q.Service, q.Object, bulky}))
 	if t == nil {
-		return nil, &search.refusal
+		refusal := search.refusal
+		return nil, &refusal
 	}
 	c.state(t).inFlight++
 	return t, nil
