Log the inputs of decisions; drop idle connections after a failure of a reused one

Cause: a refusal did not tell the loads that it was decided on, and connections that went silent together each cost a request.

--- a/snipeconn/exchange.go
+++ b/snipeconn/exchange.go
@@ -100,6 +100,10 @@
 	if err != nil {
 		e.end()
 		c.discard()
+		if reused && e.ctx.Err() == nil {
+			// Connections that were kept with this one can be silent or broken too.
+			p.forget(r.Address)
+		}
 		return nil, err
 	}
 	resp.Reused = reused
--- a/snipeconn/pool.go
+++ b/snipeconn/pool.go
@@ -20,7 +20,7 @@
 	// timeout of its own; default 4 s.
 	IdleTimeout time.Duration
 	// SilenceTimeout is how long sent bytes may stay unacknowledged before the
-	// connection counts as broken; default 800 ms.
+	// connection counts as broken; default 500 ms.
 	SilenceTimeout time.Duration
 	// BufferedBody bounds the bytes of an answer that are held back until the
 	// answer is complete; default 256 KiB.
@@ -35,7 +35,7 @@
 		s.IdleTimeout = 4 * time.Second
 	}
 	if s.SilenceTimeout == 0 {
-		s.SilenceTimeout = 800 * time.Millisecond
+		s.SilenceTimeout = 500 * time.Millisecond
 	}
 	if s.BufferedBody == 0 {
 		s.BufferedBody = 256 << 10
@@ -150,6 +150,17 @@
 	}
 }
 
+// forget closes the idle connections to an address.
+func (p *Pools) forget(address string) {
+	p.mu.Lock()
+	list := p.idle[address]
+	delete(p.idle, address)
+	p.mu.Unlock()
+	for _, c := range list {
+		c.discard()
+	}
+}
+
 // Counts returns how many connections were opened and how often one was reused.
 func (p *Pools) Counts() (opened, reused uint64) {
 	p.mu.Lock()
--- a/snipegate/attempts.go
+++ b/snipegate/attempts.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/snipemoor/snipemoor/snipeconn"
 	"github.com/snipemoor/snipemoor/snipefleet"
 	"github.com/snipemoor/snipemoor/snipeplacement"
@@ -34,14 +36,11 @@
 			q.refuse(OutcomeCallerGone, 0)
 			return
 		}
-		t, refusal := q.choose()
-		if refusal != nil {
+		if refusal := q.choose(); refusal != nil {
 			q.giveUp(refusal)
 			return
 		}
-		q.tried = append(q.tried, t)
-		q.excluded = append(q.excluded, t)
-		switch q.attempt(t) {
+		switch q.attempt() {
 		case final:
 			return
 		case uncertain:
@@ -56,10 +55,18 @@
 			q.refuse(q.outcome, q.comeBack)
 			return
 		}
-		q.gate.Metrics.retried(q.outcome)
+		q.reportRetry()
 	}
 }
 
+// reportRetry logs and counts a request that is sent once more.
+func (q *request) reportRetry() {
+	q.gate.Metrics.retried(q.outcome)
+	q.gate.Log.Info("retry", zap.String("request", q.call.ID), zap.String("reason", string(q.outcome)),
+		zap.String("target", q.look.Target.ID), zap.Bool("reusedConnection", q.reused), zap.Error(q.cause))
+	q.cause = nil
+}
+
 // fullDelay is when a caller comes back after a full target refused its request.
 const fullDelay = 150 * time.Millisecond
 
@@ -71,14 +78,23 @@
 	q.refuse(q.outcome, refusal.RetryAfter)
 }
 
-func (q *request) choose() (*snipefleet.Target, *snipeplacement.Refusal) {
-	return q.gate.Chooser.Choose(q.gate.Clock.Now(), q.gate.Fleet.View(), &snipeplacement.Query{
+// choose picks the target of the next attempt.
+func (q *request) choose() *snipeplacement.Refusal {
+	look, refusal := q.gate.Chooser.Choose(q.gate.Clock.Now(), q.gate.Fleet.View(), &snipeplacement.Query{
 		Service: q.service,
 		Info:    q.table.Service(q.service),
 		Route:   q.route,
 		Object:  q.call.Object,
 		Tried:   q.excluded,
 	})
+	if refusal != nil {
+		q.refusal = refusal
+		return refusal
+	}
+	q.look = look
+	q.tried = append(q.tried, look.Target)
+	q.excluded = append(q.excluded, look.Target)
+	return nil
 }
 
 // again reports whether the request may be sent once more.
@@ -96,7 +112,8 @@
 const minAttemptTime = 50 * time.Millisecond
 
 // attempt sends the request once and passes a final answer on.
-func (q *request) attempt(t *snipefleet.Target) verdict {
+func (q *request) attempt() verdict {
+	t := q.look.Target
 	ctx := q.r.Context()
 	if q.route.Kind != snipetable.Idempotent {
 		// A target that runs such a request is left to finish it.
@@ -192,16 +209,13 @@
 // repeatOrPass is called with a retry taken from the budget: a target failed an
 // idempotent request.
 func (q *request) repeatOrPass(resp *snipeconn.Response) verdict {
-	t, refusal := q.choose()
-	if refusal != nil {
+	if refusal := q.choose(); refusal != nil {
 		q.pass(resp)
 		return final
 	}
 	q.begun = true
-	q.gate.Metrics.retried(q.outcome)
-	q.tried = append(q.tried, t)
-	q.excluded = append(q.excluded, t)
-	if v := q.attempt(t); v != final {
+	q.reportRetry()
+	if v := q.attempt(); v != final {
 		q.pass(resp)
 	}
 	return final
--- a/snipegate/gate.go
+++ b/snipegate/gate.go
@@ -30,7 +30,7 @@
 
 // Chooser chooses targets.
 type Chooser interface {
-	Choose(now snipetime.Instant, v *snipefleet.View, q *snipeplacement.Query) (*snipefleet.Target, *snipeplacement.Refusal)
+	Choose(now snipetime.Instant, v *snipefleet.View, q *snipeplacement.Query) (snipeplacement.Look, *snipeplacement.Refusal)
 	Done(now snipetime.Instant, t *snipefleet.Target, r snipeplacement.Result)
 }
 
@@ -100,7 +100,11 @@
 	}
 	if n := len(q.tried); n > 0 {
 		last := q.tried[n-1]
-		fields = append(fields, zap.String("target", last.ID), zap.Bool("begun", q.begun), zap.Bool("reusedConnection", q.reused))
+		fields = append(fields, zap.String("target", last.ID), zap.Float64("load", q.look.Load), zap.Duration("loadAge", q.look.Age),
+			zap.Bool("begun", q.begun), zap.Bool("reusedConnection", q.reused))
+	}
+	if q.refusal != nil {
+		fields = append(fields, zap.Duration("retryAfter", q.refusal.RetryAfter), zap.Array("looks", looks(q.refusal.Looks)))
 	}
 	if q.cause != nil {
 		fields = append(fields, zap.Error(q.cause))
@@ -152,6 +156,9 @@
 	excluded []*snipefleet.Target
 	begun    bool
 	reused   bool
+	// look is the last target as it was chosen, and refusal is why there was none.
+	look    snipeplacement.Look
+	refusal *snipeplacement.Refusal
 	// comeBack is when a caller whose request was refused comes back.
 	comeBack time.Duration
 
--- a/snipeplacement/chooser.go
+++ b/snipeplacement/chooser.go
@@ -43,12 +43,27 @@
 	// ReasonCold means that the targets that are left are cold and have taken
 	// their share.
 	ReasonCold Reason = "targetsCold"
+	// ReasonSuspect means that requests to the targets that are left failed.
+	ReasonSuspect Reason = "targetsSuspect"
 )
 
 // Refusal says why a request is refused and when to come back.
 type Refusal struct {
 	Reason     Reason
 	RetryAfter time.Duration
+	// Looks are the targets that were considered.
+	Looks []Look
+}
+
+// Look is a target as it was seen by a decision.
+type Look struct {
+	Target *snipefleet.Target
+	// Load is the number of requests believed to be at the target, and Age is how
+	// old the part of it is that other fronts sent.
+	Load float64
+	Age  time.Duration
+	// Skipped is why the target was left out, or empty.
+	Skipped Reason
 }
 
 // Query is a request that needs a target.
@@ -99,20 +114,24 @@
 
 // Choose returns a target for q and counts the request as in flight there until
 // Done, or returns a refusal.
-func (c *Chooser) Choose(now snipetime.Instant, v *snipefleet.View, q *Query) (*snipefleet.Target, *Refusal) {
+func (c *Chooser) Choose(now snipetime.Instant, v *snipefleet.View, q *Query) (Look, *Refusal) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	search := search{c: c, now: now, view: v, query: q, refusal: Refusal{Reason: ReasonNoTarget, RetryAfter: noTargetDelay}}
 	bulky := q.Route.Kind == snipetable.Upload
-	t := search.among(c.ranks.of(v, rankKey{q.Service, q.Object, bulky}))
-	if t == nil {
+	look, found := search.among(c.ranks.of(v, rankKey{q.Service, q.Object, bulky}))
+	if !found {
 		refusal := search.refusal
-		return nil, &refusal
+		refusal.Looks = slices.Clone(search.looks[:search.seen])
+		return Look{}, &refusal
 	}
-	c.state(t).inFlight++
-	return t, nil
+	c.state(look.Target).inFlight++
+	return look, nil
 }
 
+// maxLooks bounds the targets that a refusal names.
+const maxLooks = 4
+
 // search looks for a target with room among those of an object.
 type search struct {
 	c          *Chooser
@@ -121,43 +140,52 @@
 	query      *Query
 	considered int
 	refusal    Refusal
+	looks      [maxLooks]Look
+	seen       int
 }
 
-func (s *search) among(targets []*snipefleet.Target) *snipefleet.Target {
+func (s *search) among(targets []*snipefleet.Target) (Look, bool) {
 	for _, t := range targets {
 		if s.considered == setSize {
-			return nil
+			break
 		}
 		if !s.query.Route.AllowsRegion(t.Place.Region) || slices.Contains(s.query.Tried, t) {
 			continue
 		}
-		if s.fits(t) {
-			return t
+		look := s.look(t)
+		if look.Skipped == "" {
+			return look, true
+		}
+		if s.seen < maxLooks {
+			s.looks[s.seen] = look
+			s.seen++
 		}
 	}
-	return nil
+	return Look{}, false
 }
 
-// fits reports whether a target takes the request now.
-func (s *search) fits(t *snipefleet.Target) bool {
+// look decides whether a target takes the request now.
+func (s *search) look(t *snipefleet.Target) Look {
 	state := s.c.state(t)
-	if state.suspect(s.now) {
-		return false
-	}
-	if s.c.cold(s.now, s.view, t, s.query.Info) {
-		if s.c.trial(s.now, s.view, t, state, s.query.Info) {
-			return true
+	look := Look{Target: t, Load: state.load(s.now), Age: s.now.Sub(state.othersAt)}
+	switch {
+	case state.suspect(s.now):
+		look.Skipped = ReasonSuspect
+		s.refusal.worsen(ReasonSuspect, noTargetDelay)
+		return look
+	case s.c.cold(s.now, s.view, t, s.query.Info):
+		if !s.c.trial(s.now, s.view, t, state, s.query.Info) {
+			look.Skipped = ReasonCold
+			s.refusal.worsen(ReasonCold, coldDelay)
 		}
-		s.refusal.worsen(ReasonCold, coldDelay)
-		return false
+		return look
 	}
 	s.considered++
-	room := fill(s.considered)*float64(t.Slots) - state.load(s.now)
-	if room < 1 {
+	if room := fill(s.considered)*float64(t.Slots) - look.Load; room < 1 {
+		look.Skipped = ReasonFull
 		s.refusal.worsen(ReasonFull, state.freeIn(t, 1-room))
-		return false
 	}
-	return true
+	return look
 }
 
 // worsen replaces the reason and keeps the shortest delay of one reason.
--- a/snipeplacement/load_test.go
+++ b/snipeplacement/load_test.go
@@ -152,7 +152,8 @@
 	if s.counts(r) {
 		s.offered++
 	}
-	target, refusal := c.Choose(s.now, s.registry.View(), s.query(object))
+	look, refusal := c.Choose(s.now, s.registry.View(), s.query(object))
+	target := look.Target
 	if refusal != nil {
 		if s.counts(r) {
 			s.denied++
@@ -353,18 +354,19 @@
 	s := newSim(t, 2, 1)
 	c := s.fronts[0]
 	v := s.registry.View()
-	down, refusal := c.Choose(0, v, s.query("x"))
+	chosen, refusal := c.Choose(0, v, s.query("x"))
 	if refusal != nil {
 		t.Fatal(refusal)
 	}
+	down := chosen.Target
 	c.Done(0, down, Result{Unreachable: true})
 	uses := func(at snipetime.Instant) bool {
-		target, refusal := c.Choose(at, v, s.query("x"))
+		look, refusal := c.Choose(at, v, s.query("x"))
 		if refusal != nil {
 			return false
 		}
-		defer c.Done(at, target, Result{Answered: true})
-		return target == down
+		defer c.Done(at, look.Target, Result{Answered: true})
+		return look.Target == down
 	}
 	if uses(second / 2) {
 		t.Error("the target is used right after it could not be reached")
@@ -385,7 +387,7 @@
 		}
 	}
 	_, refusal := c.Choose(0, v, s.query("x"))
-	if refusal == nil || refusal.Reason != ReasonFull || refusal.RetryAfter <= 0 || refusal.RetryAfter > time.Second {
+	if refusal == nil || refusal.Reason != ReasonFull || refusal.RetryAfter <= 0 || refusal.RetryAfter > time.Second || len(refusal.Looks) != 1 {
 		t.Errorf("refusal %+v", refusal)
 	}
 	if _, refusal = New("f", place(0)).Choose(0, snipefleet.New().View(), s.query("x")); refusal == nil || refusal.Reason != ReasonNoTarget {
@@ -416,8 +418,8 @@
 			for i := range b.N {
 				q.Object = objects[i%len(objects)]
 				now := snipetime.Instant(i) * 1000
-				if t, refusal := c.Choose(now, v, q); refusal == nil {
-					c.Done(now, t, Result{Latency: warmTime, Answered: true})
+				if look, refusal := c.Choose(now, v, q); refusal == nil {
+					c.Done(now, look.Target, Result{Latency: warmTime, Answered: true})
 				}
 			}
 		})
