Gate: a request that reached no target takes nothing from the retry budget

Failed requests were logged as sent over new connections. Change: only what can have arrived spends the budget; failures say whether the connection was a kept one. TestBudget and TestSilentConnections failed before.

--- a/snipeconn/conn_test.go
+++ b/snipeconn/conn_test.go
@@ -8,7 +8,9 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -267,3 +269,67 @@
 		}
 	}
 }
+
+// TestSilentConnections guards against one request lost for each kept connection
+// after connections to a target went silent together.
+func TestSilentConnections(t *testing.T) {
+	var mu sync.Mutex
+	silent := map[net.Conn]bool{}
+	var conns []net.Conn
+	address := target(t, func(c net.Conn, r *bufio.Reader) {
+		mu.Lock()
+		conns = append(conns, c)
+		mu.Unlock()
+		for {
+			id, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			quiet := silent[c]
+			mu.Unlock()
+			if !quiet {
+				_, _ = io.WriteString(c, answer(id, "ok"))
+			}
+		}
+	})
+	p := New(Settings{})
+	const kept = 4
+	var wg sync.WaitGroup
+	for range kept {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			c, err := p.dial(context.Background(), address)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			p.put(c, time.Now(), time.Minute)
+		}()
+	}
+	wg.Wait()
+	// Wait until the target knows all connections.
+	for {
+		mu.Lock()
+		known := len(conns)
+		for _, c := range conns {
+			silent[c] = true
+		}
+		mu.Unlock()
+		if known == kept {
+			break
+		}
+		runtime.Gosched()
+	}
+	_, err := p.Send(context.Background(), request(address, "1", 50*time.Millisecond))
+	var e *Error
+	if !errors.As(err, &e) || !e.Reused || !e.Begun || e.Cause != CauseTimeout {
+		t.Fatalf("error %v, want a timeout on a kept connection", err)
+	}
+	resp, err := p.Send(context.Background(), request(address, "2", time.Second))
+	if err != nil {
+		t.Fatalf("the request after a silent connection: %v", err)
+	}
+	resp.Close()
+}
--- a/snipeconn/errors.go
+++ b/snipeconn/errors.go
@@ -26,6 +26,8 @@
 	Begun bool
 	// Cause is the kind of the failure.
 	Cause Cause
+	// Reused says whether the request went over a kept connection.
+	Reused bool
 	// Err is the underlying error.
 	Err error
 }
--- a/snipeconn/exchange.go
+++ b/snipeconn/exchange.go
@@ -90,10 +90,11 @@
 	c := p.take(r.Address, now)
 	reused := c != nil
 	if c == nil {
-		var err error
-		if c, err = p.dial(ctx, r.Address); err != nil {
+		fresh, err := p.dial(ctx, r.Address)
+		if err != nil {
 			return nil, dialFailure(ctx, err)
 		}
+		c = fresh
 	}
 	e := &exchange{pools: p, conn: c, request: r, ctx: ctx}
 	resp, err := e.run()
@@ -104,6 +105,7 @@
 			// Connections that were kept with this one can be silent or broken too.
 			p.forget(r.Address)
 		}
+		err.Reused = reused
 		return nil, err
 	}
 	resp.Reused = reused
@@ -132,7 +134,7 @@
 // longAgo makes pending reads and writes of a connection fail at once.
 var longAgo = time.Unix(1, 0) //nolint:gochecknoglobals // a constant that the language cannot express
 
-func (e *exchange) run() (*Response, error) {
+func (e *exchange) run() (*Response, *Error) {
 	if err := e.conn.SetDeadline(e.request.Deadline); err != nil {
 		return nil, &Error{Cause: CauseLost, Err: fmt.Errorf("set deadline: %w", err)}
 	}
--- a/snipegate/attempts.go
+++ b/snipegate/attempts.go
@@ -22,7 +22,9 @@
 const (
 	// final means that the caller has its answer.
 	final verdict = iota
-	// notRun means that the target has not run the request.
+	// notSent means that nothing of the request has reached a target.
+	notSent
+	// notRun means that the target has refused the request without running it.
 	notRun
 	// uncertain means that the target can have begun it, without a full answer.
 	uncertain
@@ -40,7 +42,8 @@
 			q.giveUp(refusal)
 			return
 		}
-		switch q.attempt() {
+		v := q.attempt()
+		switch v {
 		case final:
 			return
 		case uncertain:
@@ -49,9 +52,9 @@
 				q.refuse(q.outcome, 0)
 				return
 			}
-		case notRun:
+		case notRun, notSent:
 		}
-		if !q.again() {
+		if !q.again(v) {
 			q.refuse(q.outcome, q.comeBack)
 			return
 		}
@@ -97,15 +100,16 @@
 	return nil
 }
 
-// again reports whether the request may be sent once more.
-func (q *request) again() bool {
+// again reports whether the request may be sent once more after an attempt that
+// ended with v. What reached no target takes nothing from the budget.
+func (q *request) again(v verdict) bool {
 	if len(q.tried) >= q.route.Attempts || q.r.Context().Err() != nil {
 		return false
 	}
 	if time.Until(q.deadline) < minAttemptTime {
 		return false
 	}
-	return q.gate.spendRetry(q.service)
+	return v == notSent || q.gate.spendRetry(q.service)
 }
 
 // minAttemptTime is the least time for which an attempt is worth its cost.
@@ -136,7 +140,7 @@
 func (q *request) failed(t *snipefleet.Target, sent time.Time, err error) verdict {
 	failure := &snipeconn.Error{Begun: true, Cause: snipeconn.CauseLost, Err: err}
 	errors.As(err, &failure)
-	q.cause = failure
+	q.cause, q.reused = failure, failure.Reused
 	result := snipeplacement.Result{Latency: time.Since(sent)}
 	switch failure.Cause {
 	case snipeconn.CauseDial:
@@ -152,7 +156,7 @@
 	if failure.Begun {
 		return uncertain
 	}
-	return notRun
+	return notSent
 }
 
 func (q *request) answered(t *snipefleet.Target, sent time.Time, resp *snipeconn.Response) verdict {
@@ -182,7 +186,7 @@
 		q.outcome = OutcomeTargetFailed
 		return uncertain
 	case resp.Status >= http.StatusInternalServerError && q.route.Kind == snipetable.Idempotent &&
-		resp.Rest == nil && q.again():
+		resp.Rest == nil && q.again(uncertain):
 		q.outcome = OutcomeTargetFailed
 		return q.repeatOrPass(resp)
 	}
--- a/snipegate/gate.go
+++ b/snipegate/gate.go
@@ -103,8 +103,11 @@
 		fields = append(fields, zap.String("target", last.ID), zap.Float64("load", q.look.Load), zap.Duration("loadAge", q.look.Age),
 			zap.Bool("begun", q.begun), zap.Bool("reusedConnection", q.reused))
 	}
+	if q.status == http.StatusServiceUnavailable {
+		fields = append(fields, zap.Duration("retryAfter", q.retryAfter))
+	}
 	if q.refusal != nil {
-		fields = append(fields, zap.Duration("retryAfter", q.refusal.RetryAfter), zap.Array("looks", looks(q.refusal.Looks)))
+		fields = append(fields, zap.Array("looks", looks(q.refusal.Looks)))
 	}
 	if q.cause != nil {
 		fields = append(fields, zap.Error(q.cause))
@@ -161,6 +164,8 @@
 	refusal *snipeplacement.Refusal
 	// comeBack is when a caller whose request was refused comes back.
 	comeBack time.Duration
+	// retryAfter is what the caller is told.
+	retryAfter time.Duration
 
 	outcome Outcome
 	status  int
@@ -262,5 +267,6 @@
 // refuse answers for the front itself.
 func (q *request) refuse(o Outcome, retryAfter time.Duration) {
 	q.outcome = o
-	q.status = refuse(q.w, o, q.begun, retryAfter)
+	q.retryAfter = max(retryAfter, minRetryAfter)
+	q.status = refuse(q.w, o, q.begun, q.retryAfter)
 }
--- a/snipegate/gate_test.go
+++ b/snipegate/gate_test.go
@@ -218,6 +218,28 @@
 	return s
 }
 
+// TestBudget guards against retries beyond the budget, and against an empty
+// budget that keeps a request from its first arrival at a target.
+func TestBudget(t *testing.T) {
+	for name, tc := range map[string]struct {
+		first  step
+		status int
+	}{
+		"shed":        {status(503, "Not-Run"), 503},
+		"not dialled": {failed(snipeconn.CauseDial, false), 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, snipetable.NonIdempotent, tc.first, ok("x"))
+			r.gate.Budget = func() sniperetry.BudgetSettings {
+				return sniperetry.BudgetSettings{Ratio: 1e-9, MinimumPerSecond: 1e-9, Cap: 1}
+			}
+			if w := r.call(http.MethodPost, "/", ""); w.Code != tc.status {
+				t.Errorf("status %d, want %d", w.Code, tc.status)
+			}
+		})
+	}
+}
+
 // TestRefusals guards against wrong statuses for requests that are not sent.
 func TestRefusals(t *testing.T) {
 	r := newRig(t, snipetable.Idempotent)
--- a/snipegate/outcome.go
+++ b/snipegate/outcome.go
@@ -57,7 +57,7 @@
 	status := o.status(begun)
 	h := w.Header()
 	if status == http.StatusServiceUnavailable {
-		h.Set("Retry-After", strconv.FormatFloat(max(retryAfter, minRetryAfter).Seconds(), 'f', 3, 64))
+		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
 	body := []byte(string(o) + "\n")
 	h.Set("Content-Type", "text/plain; charset=utf-8")
