--- a/cmd/snipemoorfront/main.go
+++ b/cmd/snipemoorfront/main.go
@@ -46,7 +46,8 @@
 }
 
 func start(o options) int {
-	settings, err := platform.LoadSettings(o.Settings)
+	load := func() (*platform.Settings, error) { return platform.LoadSettings(o.Settings) }
+	settings, err := load()
 	if err != nil {
 		complain(err)
 		return exitBadSettings
@@ -63,12 +64,16 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	signal.Ignore(syscall.SIGHUP)
 	metrics := ""
 	if o.MetricsPort != 0 {
 		metrics = net.JoinHostPort(settings.IP, strconv.Itoa(o.MetricsPort))
 	}
-	if err := snipefront.New(settings, metrics, log).Run(ctx); err != nil {
+	front, err := snipefront.New(load, metrics, log)
+	if err != nil {
+		log.Error("front cannot start", zap.Error(err))
+		return exitBadSettings
+	}
+	if err := front.Run(ctx); err != nil {
 		log.Error("front failed", zap.Error(err))
 		return exitFailed
 	}
--- a/snipefront/book.go
+++ b/snipefront/book.go
@@ -20,8 +20,9 @@
 type book struct {
 	self  snipefleet.Member
 	fleet *snipefleet.Registry
-	ttl   time.Duration
-	open  atomic.Bool
+	// ttl is the platform's bound on how long callers keep addresses.
+	ttl  func() time.Duration
+	open atomic.Bool
 }
 
 // Addresses implements platform.AddressBook.
@@ -34,7 +35,7 @@
 	if len(near) == 0 {
 		near = filter(members, func(*snipefleet.Member) bool { return true })
 	}
-	return near[:min(len(near), maxAddresses)], b.ttl
+	return near[:min(len(near), maxAddresses)], min(addressTTL, b.ttl())
 }
 
 // live returns the fronts that take callers. The own entry in the store can lag
--- a/snipefront/callers.go
+++ b/snipefront/callers.go
@@ -36,7 +36,7 @@
 		<-ctx.Done()
 		select {
 		case <-stopped:
-		case <-time.After(f.settings.Bounds.Grace):
+		case <-time.After(f.settings.Load().Bounds.Grace):
 		}
 		return errStopped
 	}, func(error) { cancel() }
@@ -58,7 +58,7 @@
 }
 
 func (f *Front) callers(ctx context.Context) error {
-	l, err := net.Listen("tcp4", f.settings.Callers)
+	l, err := net.Listen("tcp4", f.settings.Load().Callers)
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
@@ -87,7 +87,7 @@
 // are served and told to close, and requests in flight end.
 func (f *Front) drain(server *http.Server, withdraw func(), announced <-chan struct{}) error {
 	started := time.Now()
-	grace := f.settings.Bounds.Grace
+	grace := f.settings.Load().Bounds.Grace
 	f.log.Info("stopping", zap.Duration("grace", grace))
 	f.book.open.Store(false)
 	f.gate.Stop()
--- a/snipefront/front.go
+++ b/snipefront/front.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/oklog/run"
@@ -37,8 +38,10 @@
 
 // Front is one process between callers and targets.
 type Front struct {
-	settings *platform.Settings
+	settings atomic.Pointer[platform.Settings]
+	load     Loader
 	metrics  string
+	store    *platform.Store
 	log      *zap.Logger
 	registry *prometheus.Registry
 
@@ -54,26 +57,33 @@
 }
 
 // New returns a front that is not running yet.
-// metrics is the address on which metrics are served, or empty.
-func New(s *platform.Settings, metrics string, log *zap.Logger) *Front {
+// load reads its settings, and metrics is the address on which metrics are
+// served, or empty. An error is that of load.
+func New(load Loader, metrics string, log *zap.Logger) (*Front, error) {
+	s, err := load()
+	if err != nil {
+		return nil, err
+	}
 	f := &Front{
-		settings: s, metrics: metrics, log: log, registry: prometheus.NewRegistry(),
+		load: load, metrics: metrics, log: log, store: platform.NewStore(s.Store, s.Regions), registry: prometheus.NewRegistry(),
 		timers: snipetime.New(), fleet: snipefleet.New(), tables: &snipetable.Holder{},
 		pools:   snipeconn.New(snipeconn.Settings{}),
 		chooser: snipeplacement.New(s.Name, s.Place),
 	}
 	self := snipefleet.Member{Name: s.Name, Address: s.Callers, Place: s.Place}
-	store := platform.NewStore(s.Store, s.Regions)
-	f.follower = snipesync.NewFollower(s.Name, store, f.fleet, f.tables, f.timers, log)
-	f.announce = snipesync.NewAnnouncer(store, self, f.follower, log)
-	f.book = &book{self: self, fleet: f.fleet, ttl: min(addressTTL, s.Bounds.AddressTTL)}
+	f.settings.Store(s)
+	f.follower = snipesync.NewFollower(s.Name, f.store, f.fleet, f.tables, f.timers, log)
+	f.announce = snipesync.NewAnnouncer(f.store, self, f.follower, log)
+	f.book = &book{self: self, fleet: f.fleet, ttl: func() time.Duration { return f.settings.Load().Bounds.AddressTTL }}
 	f.gate = snipegate.New(snipegate.Dependencies{
 		Dialect: platform.Headers{}, Tables: f.tables, Fleet: f.fleet, Chooser: f.chooser,
 		Sender: f.pools, Clock: f.timers, Metrics: snipegate.NewMetrics(f.registry), Log: log,
-		Budget: func() sniperetry.BudgetSettings { return budget(s.Bounds, len(f.fleet.View().Members())) },
+		Budget: func() sniperetry.BudgetSettings {
+			return budget(f.settings.Load().Bounds, len(f.fleet.View().Members()))
+		},
 	})
 	f.registerConnections()
-	return f
+	return f, nil
 }
 
 func (f *Front) registerConnections() {
@@ -115,22 +125,24 @@
 // Run serves until ctx ends and the graceful stop is done, or a part fails.
 func (f *Front) Run(ctx context.Context) error {
 	defer f.timers.Close()
-	debug.SetMemoryLimit(int64(memoryShare * float64(f.settings.MemoryBytes)))
-	f.log.Info("start", zap.String("front", f.settings.Name), zap.String("domain", f.settings.Place.Domain),
-		zap.String("callers", f.settings.Callers), zap.String("store", f.settings.Store), zap.String("metrics", f.metrics))
+	settings := f.settings.Load()
+	debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
+	f.log.Info("start", zap.String("front", settings.Name), zap.String("domain", settings.Place.Domain),
+		zap.String("callers", settings.Callers), zap.String("store", settings.Store), zap.String("metrics", f.metrics))
 	f.timers.Every(sweepEvery, func(snipetime.Instant) { f.sweep() })
 
 	var g run.Group
 	stopped := make(chan struct{})
 	g.Add(f.untilStopped(ctx, stopped))
 	g.Add(background(f.follower.Run))
+	g.Add(background(f.watchSettings))
 	g.Add(f.serveCallers(ctx, stopped))
 	for name, part := range map[string]struct {
 		address string
 		handler http.Handler
 	}{
-		"directory": {f.settings.Directory, platform.DirectoryHandler(f.book)},
-		"readiness": {f.settings.Readiness, platform.ReadinessHandler(f.book.open.Load)},
+		"directory": {settings.Directory, platform.DirectoryHandler(f.book)},
+		"readiness": {settings.Readiness, platform.ReadinessHandler(f.book.open.Load)},
 		"metrics":   {f.metrics, f.metricsHandler()},
 	} {
 		if part.address != "" {
--- a/snipegate/attempts.go
+++ b/snipegate/attempts.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -87,7 +88,7 @@
 		Service: q.service,
 		Info:    q.table.Service(q.service),
 		Route:   q.route,
-		Object:  q.call.Object,
+		Object:  q.object(),
 		Tried:   q.excluded,
 	})
 	if refusal != nil {
@@ -100,6 +101,21 @@
 	return nil
 }
 
+// spreadKeys is the number of keys over which requests without an object spread.
+const spreadKeys = 64
+
+// object returns the key by which targets are chosen. Requests without an object,
+// or of routes on which it does not matter, spread over all targets.
+func (q *request) object() string {
+	if q.route.Sticky && q.call.Object != "" {
+		return q.call.Object
+	}
+	if q.spread == "" {
+		q.spread = "~" + strconv.Itoa(rand.IntN(spreadKeys))
+	}
+	return q.spread
+}
+
 // again reports whether the request may be sent once more after an attempt that
 // ended with v. What reached no target takes nothing from the budget.
 func (q *request) again(v verdict) bool {
--- a/snipegate/gate.go
+++ b/snipegate/gate.go
@@ -151,7 +151,9 @@
 	route   *snipetable.Route
 	service string
 	uri     string
-	body    []byte
+	// spread replaces the object of a request without one.
+	spread string
+	body   []byte
 	// deadline ends the request.
 	deadline time.Time
 	tried    []*snipefleet.Target
--- a/snipegate/gate_test.go
+++ b/snipegate/gate_test.go
@@ -218,6 +218,28 @@
 	return s
 }
 
+// TestSpread guards against requests without an object that all go to the target
+// which the empty object prefers.
+func TestSpread(t *testing.T) {
+	const requests = 60
+	r := newRig(t, snipetable.Idempotent)
+	for range requests {
+		r.script.steps = append(r.script.steps, ok("x"))
+	}
+	used := map[string]int{}
+	for range requests {
+		r.call(http.MethodGet, "/", "")
+	}
+	for _, sent := range r.script.sent {
+		used[sent.Address]++
+	}
+	for _, id := range []string{"a", "b", "c"} {
+		if used[id] == 0 {
+			t.Errorf("target %s was not used: %v", id, used)
+		}
+	}
+}
+
 // TestBudget guards against retries beyond the budget, and against an empty
 // budget that keeps a request from its first arrival at a target.
 func TestBudget(t *testing.T) {
--- a/snipesync/follower.go
+++ b/snipesync/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -57,6 +58,8 @@
 	lost chan struct{}
 	// doubt receives when another call to the store failed.
 	doubt chan struct{}
+	// relist asks for a complete listing.
+	relist atomic.Bool
 }
 
 // NewFollower returns a follower for the front with the given name.
@@ -80,6 +83,9 @@
 		var changes []Change
 		var err error
 		var next Revision
+		if f.relist.Swap(false) {
+			listed = false
+		}
 		full := !listed
 		if full {
 			changes, next, err = f.list(ctx)
@@ -141,6 +147,13 @@
 	}
 }
 
+// Relist makes the follower list everything again, because it can read more than
+// before.
+func (f *Follower) Relist() {
+	f.relist.Store(true)
+	f.Doubt()
+}
+
 // endOnDoubt cancels a watch at the next Doubt, until the returned function is
 // called.
 func (f *Follower) endOnDoubt(cancel func()) (stop func()) {
