--- a/snipeconn/pool.go
+++ b/snipeconn/pool.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -61,7 +62,7 @@
 // New returns an empty set of pools.
 func New(settings Settings) *Pools {
 	p := &Pools{settings: settings.withDefaults(), idle: make(map[string][]*conn)}
-	p.dialer = net.Dialer{Timeout: p.settings.DialTimeout, KeepAlive: -1, Control: silenceControl(p.settings.SilenceTimeout)}
+	p.dialer = net.Dialer{Timeout: p.settings.DialTimeout, KeepAlive: -1, Control: SilenceControl(p.settings.SilenceTimeout)}
 	return p
 }
 
@@ -168,10 +169,10 @@
 	return p.opened, p.reused
 }
 
-// silenceControl returns a control function for net.Dialer that makes the
-// kernel break a connection whose sent bytes stay unacknowledged.
-func silenceControl(timeout time.Duration) func(network, address string, raw rawConn) error {
-	return func(_, _ string, raw rawConn) error {
+// SilenceControl returns a control function for net.Dialer that makes the
+// kernel break a connection whose sent bytes stay unacknowledged for a time.
+func SilenceControl(timeout time.Duration) func(network, address string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
 		var failed error
 		err := raw.Control(func(fd uintptr) {
 			failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
--- a/snipeconn/quiet.go
+++ b/snipeconn/quiet.go
@@ -8,8 +8,6 @@
 	"golang.org/x/sys/unix"
 )
 
-type rawConn = syscall.RawConn
-
 // quiet reports whether a connection is open and has nothing to read. Bytes that
 // arrived without a request belong to no request.
 func quiet(c net.Conn) bool {
