--- /dev/null
+++ b/snipegate/bench_test.go
@@ -0,0 +1,73 @@
+package snipegate
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/snipemoor/snipemoor/snipeconn"
+	"github.com/snipemoor/snipemoor/snipefleet"
+	"github.com/snipemoor/snipemoor/snipeplacement"
+	"github.com/snipemoor/snipemoor/sniperetry"
+	"github.com/snipemoor/snipemoor/snipetable"
+	"github.com/snipemoor/snipemoor/snipetime"
+)
+
+// BenchmarkForward measures a request through a gate on loopback, beside the same
+// request sent to the target directly.
+func BenchmarkForward(b *testing.B) {
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Signed", "1")
+		_, _ = w.Write(make([]byte, 400))
+	}))
+	defer target.Close()
+	clock := snipetime.New()
+	defer clock.Close()
+	fleet := snipefleet.New()
+	fleet.Report(0, snipefleet.TargetReport{ID: "a", Service: "s", Address: target.Listener.Addr().String(), Slots: 64, Born: 1})
+	table, err := snipetable.New(1, []snipetable.Route{{
+		Name: "r", Host: "h", Prefix: "/", Kind: snipetable.Idempotent, Timeout: time.Second, Attempts: 1,
+		Backends: []snipetable.Backend{{Service: "s", Weight: 1}},
+	}}, []snipetable.Service{{Name: "s"}}, snipetable.Limits{})
+	if err != nil {
+		b.Fatal(err)
+	}
+	var tables snipetable.Holder
+	tables.Offer(table)
+	gate := httptest.NewServer(New(Dependencies{
+		Dialect: dialect{}, Tables: &tables, Fleet: fleet, Chooser: snipeplacement.New("f", snipefleet.Place{}),
+		Sender: snipeconn.New(snipeconn.Settings{}), Clock: clock, Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(),
+		Budget: func() sniperetry.BudgetSettings { return sniperetry.BudgetSettings{} },
+	}))
+	defer gate.Close()
+	for name, address := range map[string]net.Addr{"direct": target.Listener.Addr(), "gate": gate.Listener.Addr()} {
+		b.Run(name, func(b *testing.B) {
+			client := &http.Client{Transport: &http.Transport{}}
+			defer client.CloseIdleConnections()
+			b.ReportAllocs()
+			for range b.N {
+				req, err := http.NewRequest(http.MethodGet, "http://"+address.String()+"/", nil)
+				if err != nil {
+					b.Fatal(err)
+				}
+				req.Host = "h"
+				req.Header.Set("Id", "1")
+				resp, err := client.Do(req)
+				if err != nil {
+					b.Fatal(err)
+				}
+				if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.StatusCode != http.StatusOK {
+					b.Fatalf("status %d, error %v", resp.StatusCode, err)
+				}
+				_ = resp.Body.Close()
+			}
+		})
+	}
+}
