--- a/snipedaemon/membership.go
+++ b/snipedaemon/membership.go
@@ -1,9 +1,7 @@
 package snipedaemon
 
 import (
-	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -50,13 +48,6 @@
 	State       string `json:"state"`
 }
 
-// instanceWire is the value of an instance key in the store.
-type instanceWire struct {
-	Address     string `json:"address"`
-	PeerAddress string `json:"peerAddress"`
-	Place       string `json:"place"`
-}
-
 // peerState is what this instance last told a peer.
 type peerState struct {
 	sent     snipetime.Instant
@@ -171,85 +162,9 @@
 	m.beat(now)
 }
 
-// beat sends heartbeats to the peers for which one is due.
-func (m *membership) beat(now snipetime.Instant) {
-	news := m.news()
-	m.notify(m.view.Self(news, now))
-	for _, p := range m.view.Mesh() {
-		if _, up := m.node.Session(p.PeerAddress); up {
-			m.beatPeer(now, p, news)
-		}
-	}
-}
-
-func (m *membership) beatPeer(now snipetime.Instant, p snipemember.Peer, news snipemember.News) {
-	m.mu.Lock()
-	state, ok := m.peers[p.PeerAddress]
-	if !ok {
-		state = &peerState{}
-		m.peers[p.PeerAddress] = state
-	}
-	urgent := !ok || !sameNews(state.news, news)
-	// A heartbeat slightly before its period keeps the period on average.
-	due := now.Sub(state.sent) >= p.Period-heartbeatSlack
-	full := urgent || now.Sub(state.fullSent) >= fullNewsPeriod
-	if !urgent && !due {
-		m.mu.Unlock()
-		return
-	}
-	state.sent = now
-	if full {
-		state.fullSent = now
-		state.news = news
-	}
-	m.mu.Unlock()
-	sequence := m.sequence.Add(1)
-	summaries := m.view.Summaries(p.Address, now)
-	h := &snipewire.Heartbeat{Sequence: sequence, InstantMillis: instantMillis(now)}
-	m.fill(h)
-	if !full && len(summaries) == 0 && len(h.GetGroups()) == 0 {
-		_ = m.node.Send(p.PeerAddress, &snipewire.Steady{Sequence: sequence, InstantMillis: instantMillis(now)})
-		return
-	}
-	fillNews(h, news)
-	for _, s := range summaries {
-		h.Instances = append(h.Instances, summaryTo(s))
-	}
-	_ = m.node.Send(p.PeerAddress, h)
-}
-
 // heartbeatSlack is less than half of the ticks between two heartbeats.
 const heartbeatSlack = 20 * time.Millisecond
 
-// sameNews reports whether two news differ at most in sequence and clock.
-func sameNews(a, b snipemember.News) bool {
-	a.Sequence, b.Sequence = 0, 0
-	a.ClockMillis, b.ClockMillis = 0, 0
-	a.Age, b.Age = 0, 0
-	return a == b
-}
-
-func (m *membership) receive(from snipepeer.Peer, h *snipewire.Heartbeat) {
-	news := newsFrom(h)
-	if news.PeerAddress != from.Address || news.Incarnation != from.Incarnation {
-		m.log.Warn("heartbeat names another instance than its session",
-			zap.String("peer", from.Address), zap.String("named", news.PeerAddress))
-		return
-	}
-	summaries := make([]snipemember.News, 0, len(h.GetInstances()))
-	for _, s := range h.GetInstances() {
-		summaries = append(summaries, summaryFrom(s))
-	}
-	m.notify(m.view.Heartbeat(news, summaries, m.clock.Now()))
-	m.heard(from, h)
-}
-
-func (m *membership) receiveSteady(from snipepeer.Peer, h *snipewire.Steady) {
-	if address, ok := m.addressOf(from.Address); ok {
-		m.notify(m.view.Steady(address, from.Incarnation, h.GetSequence(), h.GetInstantMillis(), m.clock.Now()))
-	}
-}
-
 // pollList reads the platform's list.
 func (m *membership) pollList(now snipetime.Instant) {
 	list, err := m.readList()
@@ -303,77 +218,6 @@
 	return m.leavingTargets[address]
 }
 
-// keepLease registers this instance in the store and renews its lease.
-func (m *membership) keepLease(ctx context.Context) {
-	m.mu.Lock()
-	lease := m.lease
-	m.mu.Unlock()
-	if lease != "" {
-		err := m.store.Renew(ctx, lease)
-		if err == nil || !errors.Is(err, snipestore.ErrLeaseExpired) {
-			return
-		}
-	}
-	lease, err := m.register(ctx)
-	if err != nil {
-		m.log.Debug("instance not registered in the store", zap.Error(err))
-	}
-	m.mu.Lock()
-	m.lease = lease
-	m.mu.Unlock()
-}
-
-func (m *membership) register(ctx context.Context) (string, error) {
-	lease, err := m.store.Grant(ctx, instanceLease)
-	if err != nil {
-		return "", fmt.Errorf("grant lease: %w", err)
-	}
-	value, err := json.Marshal(instanceWire{m.self.address, m.self.peerAddress, m.self.place})
-	if err != nil {
-		return "", fmt.Errorf("encode instance: %w", err)
-	}
-	key := instancePrefix + m.self.address
-	version := uint64(0)
-	if item, err := m.store.Get(ctx, key); err == nil {
-		version = item.Version
-	}
-	if _, err := m.store.Put(ctx, key, value, version, lease); err != nil {
-		return "", fmt.Errorf("write %s: %w", key, err)
-	}
-	return lease, nil
-}
-
-// scanLeases reads the keys of all instances. Only the watchers do so, the
-// others hear of the instances by heartbeats.
-func (m *membership) scanLeases(ctx context.Context) {
-	items, _, err := m.store.List(ctx, instancePrefix)
-	if err != nil {
-		m.log.Debug("instance keys not read", zap.Error(err))
-		return
-	}
-	var entries []snipemember.LeaseEntry
-	for _, item := range items {
-		var w instanceWire
-		if err := json.Unmarshal(item.Value, &w); err != nil || !strings.HasSuffix(item.Key, w.Address) {
-			m.log.Warn("instance key ignored", zap.String("key", item.Key))
-			continue
-		}
-		entries = append(entries, snipemember.LeaseEntry(w))
-	}
-	m.notify(m.view.Leases(entries, m.clock.Now()))
-}
-
-// deregister ends the store lease for a planned stop.
-func (m *membership) deregister(ctx context.Context) {
-	m.mu.Lock()
-	lease := m.lease
-	m.mu.Unlock()
-	if lease != "" {
-		// The lease ends by itself if this call fails.
-		_ = m.store.Revoke(ctx, lease)
-	}
-}
-
 // regionPeers returns the members of a region that have been heard and are not
 // gone, with this instance, sorted by address.
 func (m *membership) regionPeers(region string) []snipemember.Member {
@@ -402,34 +246,3 @@
 	}
 	return true
 }
-
-func fillNews(h *snipewire.Heartbeat, n snipemember.News) {
-	h.Address, h.PeerAddress, h.Incarnation, h.Place = n.Address, n.PeerAddress, n.Incarnation, n.Place
-	h.Leaving, h.Ready, h.Watching, h.Generation = n.Leaving, n.Ready, n.Watching, n.Generation
-}
-
-func newsFrom(h *snipewire.Heartbeat) snipemember.News {
-	return snipemember.News{
-		Address: h.GetAddress(), PeerAddress: h.GetPeerAddress(), Incarnation: h.GetIncarnation(), Place: h.GetPlace(),
-		Sequence: h.GetSequence(), Generation: h.GetGeneration(), ClockMillis: h.GetInstantMillis(),
-		Leaving: h.GetLeaving(), Ready: h.GetReady(), Watching: h.GetWatching(),
-	}
-}
-
-func summaryTo(n snipemember.News) *snipewire.InstanceSummary {
-	return &snipewire.InstanceSummary{
-		Address: n.Address, PeerAddress: n.PeerAddress, Incarnation: n.Incarnation, Place: n.Place,
-		Sequence: n.Sequence, Generation: n.Generation, InstantMillis: n.ClockMillis,
-		Leaving: n.Leaving, Ready: n.Ready, Watching: n.Watching, AgeMillis: millis(n.Age),
-		Silent: n.Silent, Relays: n.Relays,
-	}
-}
-
-func summaryFrom(s *snipewire.InstanceSummary) snipemember.News {
-	return snipemember.News{
-		Address: s.GetAddress(), PeerAddress: s.GetPeerAddress(), Incarnation: s.GetIncarnation(), Place: s.GetPlace(),
-		Sequence: s.GetSequence(), Generation: s.GetGeneration(), ClockMillis: s.GetInstantMillis(),
-		Leaving: s.GetLeaving(), Ready: s.GetReady(), Watching: s.GetWatching(), Age: fromMillis(s.GetAgeMillis()),
-		Silent: s.GetSilent(), Relays: s.GetRelays(),
-	}
-}
--- a/snipedaemon/slots.go
+++ b/snipedaemon/slots.go
@@ -1,7 +1,6 @@
 package snipedaemon
 
 import (
-	"context"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -28,14 +27,6 @@
 	pendingRenewals = 8
 )
 
-// groupConfig is what the configuration says of one slot group.
-type groupConfig struct {
-	name     string
-	team     *snipeconfig.Team
-	template *snipeconfig.Template
-	targets  []snipeconfig.Target
-}
-
 // slotOwner is a group that this instance owns.
 type slotOwner struct {
 	config  groupConfig
@@ -44,32 +35,6 @@
 	chooser *sniperoute.Chooser
 }
 
-// slotWaiter is a request of this instance for a slot.
-type slotWaiter struct {
-	group string
-	reply chan slotAnswer
-	// revoke cancels the attempt when its grant could not be renewed.
-	revoke func()
-}
-
-// slotAnswer is the end of a slotWaiter's wait.
-type slotAnswer struct {
-	target     string
-	reason     snipeslot.Reason
-	retryAfter time.Duration
-}
-
-// slotRequest asks for a slot of a group of the own region.
-type slotRequest struct {
-	group     string
-	attemptID string
-	budget    time.Duration
-	maxWait   time.Duration
-	excluded  []string
-	hedge     bool
-	revoke    func()
-}
-
 // sentRenewal is a renewal list without a reply.
 type sentRenewal struct {
 	at   snipetime.Instant
@@ -146,17 +111,6 @@
 	s.sendRenewals(now)
 }
 
-// targetsOf returns the addresses of the targets of each group.
-func targetsOf(groups map[string]groupConfig) map[string][]string {
-	targets := make(map[string][]string, len(groups))
-	for name, g := range groups {
-		for _, t := range g.targets {
-			targets[name] = append(targets[name], t.Address().String())
-		}
-	}
-	return targets
-}
-
 // refresh applies changes of draining targets to the groups that are owned.
 func (s *slots) refresh(now snipetime.Instant) {
 	s.mu.Lock()
@@ -268,74 +222,6 @@
 	}
 }
 
-// acquire waits for a slot of a group of the own region.
-func (s *slots) acquire(ctx context.Context, r slotRequest) (target string, refusal *slotRefusal) {
-	w := &slotWaiter{group: r.group, reply: make(chan slotAnswer, 1), revoke: r.revoke}
-	s.mu.Lock()
-	now := s.clock.Now()
-	message, ok := s.holder.Begin(now, snipeslot.Acquire{
-		Group: r.group, AttemptID: r.attemptID, Budget: r.budget, MaximumWait: r.maxWait,
-		Excluded: r.excluded, Hedge: r.hedge,
-	})
-	if !ok {
-		_, known := s.groups[r.group]
-		s.mu.Unlock()
-		if !known {
-			return "", &slotRefusal{reason: snipeslot.ReasonNoTarget}
-		}
-		return "", &slotRefusal{reason: snipeslot.ReasonLeaseLapsed, retryAfter: time.Second}
-	}
-	s.waiters[r.attemptID] = w
-	s.sendAcquire(now, message)
-	s.mu.Unlock()
-	select {
-	case a := <-w.reply:
-		if a.reason != snipeslot.ReasonNone {
-			return "", &slotRefusal{reason: a.reason, retryAfter: a.retryAfter}
-		}
-		return a.target, nil
-	case <-ctx.Done():
-	}
-	return "", s.abandon(r.attemptID, w)
-}
-
-// slotRefusal says why there is no slot. No target has begun the attempt.
-type slotRefusal struct {
-	reason     snipeslot.Reason
-	retryAfter time.Duration
-}
-
-// abandon withdraws a request whose context ended. A grant that arrived in the
-// meantime is released.
-func (s *slots) abandon(attemptID string, w *slotWaiter) *slotRefusal {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.waiters, attemptID)
-	if c, ok := s.holder.Abandon(attemptID); ok {
-		s.sendCancel(c)
-	} else if release, running := s.holder.Finish(attemptID, snipeslot.OutcomeCancelled, 0); running {
-		s.sendRelease(release)
-	}
-	select {
-	case a := <-w.reply:
-		if a.reason != snipeslot.ReasonNone {
-			return &slotRefusal{reason: a.reason, retryAfter: a.retryAfter}
-		}
-	default:
-	}
-	return &slotRefusal{reason: snipeslot.ReasonDeadline}
-}
-
-// finish ends an attempt and frees its slot.
-func (s *slots) finish(attemptID string, outcome snipeslot.Outcome, latency time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.waiters, attemptID)
-	if release, ok := s.holder.Finish(attemptID, outcome, latency); ok {
-		s.sendRelease(release)
-	}
-}
-
 func (s *slots) tick(now snipetime.Instant) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -380,35 +266,6 @@
 	}
 }
 
-// cancelAll cancels attempts without a valid grant.
-func (s *slots) cancelAll(attemptIDs []string) {
-	for _, id := range attemptIDs {
-		w, ok := s.waiters[id]
-		if !ok {
-			continue
-		}
-		s.log.Warn("attempt cancelled without a grant", zap.String("attempt", id), zap.String("group", w.group))
-		if w.revoke != nil {
-			w.revoke()
-		}
-	}
-}
-
-// answer ends the wait of a request of this instance.
-func (s *slots) answer(attemptID string, a slotAnswer) {
-	w, ok := s.waiters[attemptID]
-	if !ok {
-		return
-	}
-	if a.reason != snipeslot.ReasonNone {
-		delete(s.waiters, attemptID)
-	}
-	select {
-	case w.reply <- a:
-	default:
-	}
-}
-
 // loads returns the summaries of all owned groups.
 func (s *slots) loads() []snipeslot.Load {
 	s.mu.Lock()
@@ -447,52 +304,3 @@
 	defer s.mu.Unlock()
 	return s.ownerAddress(group)
 }
-
-// groupNames returns the names of the groups of a service in a place of the
-// own region.
-func groupNames(team, service, place string, targets []snipeconfig.Target) []string {
-	addresses := make([]string, len(targets))
-	for i, t := range targets {
-		addresses[i] = t.Address().String()
-	}
-	parts := snipeslot.Split(addresses)
-	names := make([]string, len(parts))
-	for i := range parts {
-		names[i] = snipeslot.GroupName(team, service, place, i)
-	}
-	return names
-}
-
-// groupsOf returns the slot groups of all services in the places of a region.
-func groupsOf(snapshot *snipeconfig.Snapshot, region string) map[string]groupConfig {
-	groups := make(map[string]groupConfig)
-	for _, team := range snapshot.Teams() {
-		for _, service := range team.Services() {
-			for _, place := range service.Places() {
-				if place.Region().Name() == region {
-					addGroups(groups, service, place.Name())
-				}
-			}
-		}
-	}
-	return groups
-}
-
-func addGroups(groups map[string]groupConfig, service *snipeconfig.Service, place string) {
-	targets := make(map[string]snipeconfig.Target)
-	var addresses []string
-	for _, t := range service.TargetsIn(place) {
-		targets[t.Address().String()] = t
-		addresses = append(addresses, t.Address().String())
-	}
-	for i, part := range snipeslot.Split(addresses) {
-		g := groupConfig{
-			name: snipeslot.GroupName(service.Team().Name(), service.Name(), place, i),
-			team: service.Team(), template: service.Template(),
-		}
-		for _, address := range part {
-			g.targets = append(g.targets, targets[address])
-		}
-		groups[g.name] = g
-	}
-}
