snipesync: make TestLostWatch wait for the version itself

The test looked only when the store changed, which is after the pause of 1 s between two watches, so it measured that pause; it passed where the watch had not begun to wait. Change: the first watch is silent for good, and the test waits for version 2 with the same bound of 1 s.

--- a/snipesync/fakes_test.go
+++ b/snipesync/fakes_test.go
@@ -19,8 +19,9 @@
 	changes []Change
 	at      Revision
 	listErr error
-	// silent makes watches wait until their context ends.
-	silent bool
+	// silentWatches is the number of watches, from the first, that wait until their
+	// context ends.
+	silentWatches int
 	// renewErr is the error of renewals.
 	renewErr  error
 	listed    int
@@ -51,18 +52,22 @@
 func (s *fakeStore) Watch(ctx context.Context, after Revision, wait time.Duration) ([]Change, Revision, error) {
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
-	s.update(func() { s.watched++ })
+	silent := false
+	s.update(func() {
+		s.watched++
+		silent = s.watched <= s.silentWatches
+	})
+	if silent {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
 	for {
 		s.mu.Lock()
-		silent, at, changes, changed := s.silent, s.at, s.changes, s.changed
+		at, changes, changed := s.at, s.changes, s.changed
 		s.mu.Unlock()
-		if !silent && at > after {
+		if at > after {
 			return changes, at, nil
 		}
-		if silent {
-			<-ctx.Done()
-			return nil, 0, ctx.Err()
-		}
 		select {
 		case <-ctx.Done():
 			return nil, 0, ctx.Err()
--- a/snipesync/follower_test.go
+++ b/snipesync/follower_test.go
@@ -16,6 +16,7 @@
 // to a watch was lost while the store was away.
 func TestLostWatch(t *testing.T) {
 	r := newRig(t)
+	r.store.silentWatches = 1
 	r.store.changes = []Change{table(t, 1)}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -25,24 +26,18 @@
 	}()
 	r.store.await(t, "first watch", func() bool { return r.store.watched == 1 })
 	<-r.follower.Loaded()
-	r.store.update(func() { r.store.silent = true })
-	// The watch under way was answered normally or is silent now; a failing
-	// renewal has to end it.
-	r.store.await(t, "silent watch", func() bool { return r.store.watched >= 1 })
-	r.store.update(func() {
-		r.store.silent = false
-		r.store.at, r.store.changes = 2, []Change{table(t, 2)}
-	})
+	r.store.update(func() { r.store.at, r.store.changes = 2, []Change{table(t, 2)} })
 	doubted := time.Now()
 	r.follower.Doubt()
-	r.store.await(t, "version 2 in force", func() bool { return r.tables.Current().Version() == 2 || r.store.watched > 2 })
+	tick := time.NewTicker(5 * time.Millisecond)
+	defer tick.Stop()
+	for r.tables.Current().Version() != 2 && time.Since(doubted) < 2*watchWait {
+		<-tick.C
+	}
 	cancel()
 	<-done
-	if got := r.tables.Current().Version(); got != 2 {
-		t.Errorf("version %d in force, want 2", got)
-	}
-	if took := time.Since(doubted); took > watchWait/2 {
-		t.Errorf("the watch ended after %v", took)
+	if took := time.Since(doubted); r.tables.Current().Version() != 2 || took > watchWait/2 {
+		t.Errorf("version %d in force after %v, want 2 within %v", r.tables.Current().Version(), took, watchWait/2)
 	}
 }
 
