--- a/snipeconn/errors.go
+++ b/snipeconn/errors.go
@@ -17,6 +17,8 @@
 	CauseCancelled Cause = "cancelled"
 	// CauseMalformed means that the bytes received are not an answer.
 	CauseMalformed Cause = "malformedAnswer"
+	// CauseTooLong means that the head or the body of the answer passed its bound.
+	CauseTooLong Cause = "answerTooLong"
 )
 
 // Error is a request without a complete answer.
--- a/snipeconn/exchange.go
+++ b/snipeconn/exchange.go
@@ -8,51 +8,15 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"time"
 )
 
-// Response is the answer of a target. Close must be called.
-type Response struct {
-	// Status is the status code.
-	Status int
-	// Header holds the headers as received.
-	Header http.Header
-	// Body is the whole body, or its beginning if Rest is set.
-	Body []byte
-	// Rest is what follows Body in a long answer, or nil. Its error is io.EOF
-	// only at the end of a complete answer.
-	Rest io.Reader
-	// Length is the length of the whole body, or -1 if it is not known.
-	Length int64
-	// Reused says whether the request went over a reused connection.
-	Reused bool
-
-	finish func(complete bool)
-}
-
-// Close ends the exchange. The connection of an answer that was not read to its
-// end is closed.
-func (r *Response) Close() {
-	if r.finish != nil {
-		r.finish(false)
-		r.finish = nil
-	}
-}
-
 // largeBodyBytes is the size above which a body is written beside reading the
 // answer, because a target may answer before it has read the body.
 const largeBodyBytes = 16 << 10
 
-// maxStaleAnswers bounds the answers to other requests that are skipped before
-// the connection counts as broken.
-const maxStaleAnswers = 4
-
-var (
-	errStaleAnswers = errors.New("too many answers to other requests")
-	errSwitching    = errors.New("answer switches protocols")
-)
-
 // Send sends r once. Errors are *Error.
 func (p *Pools) Send(ctx context.Context, r *Request) (*Response, error) {
 	now := time.Now()
@@ -101,6 +65,8 @@
 
 	once    sync.Once
 	written chan error // nil unless the body is written beside the reading
+	// reserved is the part of the memory for answers that the exchange holds.
+	reserved int64
 }
 
 // longAgo makes pending reads and writes of a connection fail at once.
@@ -146,62 +112,6 @@
 	return nil
 }
 
-// read returns the first answer that echoes the identifier of the request.
-func (e *exchange) read() (*Response, error) {
-	asked := &http.Request{Method: e.request.Method}
-	for range maxStaleAnswers {
-		resp, err := http.ReadResponse(e.conn.reader, asked) //nolint:bodyclose // closing would drain a long body; the connection is closed instead
-		if err != nil {
-			return nil, fmt.Errorf("read answer: %w", err)
-		}
-		if resp.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errSwitching
-		}
-		if resp.StatusCode < http.StatusOK {
-			continue
-		}
-		if id := resp.Header.Get(e.request.IDHeader); id != "" && id != e.request.ID {
-			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-				return nil, fmt.Errorf("skip answer to another request: %w", err)
-			}
-			continue
-		}
-		return e.body(resp)
-	}
-	return nil, errStaleAnswers
-}
-
-func (e *exchange) body(resp *http.Response) (*Response, error) {
-	limit := e.pools.settings.BufferedBody
-	out := &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength}
-	var err error
-	if resp.Body == http.NoBody {
-		// The length of an answer to HEAD is that of a body that is not sent.
-		e.complete(resp)
-		return out, nil
-	}
-	if n := resp.ContentLength; n >= 0 && n <= limit {
-		out.Body = make([]byte, n)
-		_, err = io.ReadFull(resp.Body, out.Body)
-	} else {
-		out.Body, err = io.ReadAll(io.LimitReader(resp.Body, limit))
-	}
-	if err != nil {
-		return nil, fmt.Errorf("read body of answer: %w", err)
-	}
-	if resp.ContentLength > limit || resp.ContentLength < 0 && int64(len(out.Body)) == limit {
-		out.Rest = resp.Body
-		out.finish = func(bool) {
-			e.end()
-			e.conn.discard()
-		}
-		return out, nil
-	}
-	out.Length = int64(len(out.Body))
-	e.complete(resp)
-	return out, nil
-}
-
 // complete returns the connection to the pool if nothing speaks against its
 // reuse.
 func (e *exchange) complete(resp *http.Response) {
@@ -248,11 +158,23 @@
 	switch {
 	case errors.Is(e.ctx.Err(), context.Canceled):
 		return &Error{Begun: begun, Cause: CauseCancelled, Err: err}
+	case errors.Is(err, errTooLong):
+		return &Error{Begun: begun, Cause: CauseTooLong, Err: err}
 	case errors.Is(err, os.ErrDeadlineExceeded), e.ctx.Err() != nil:
 		return &Error{Begun: begun, Cause: CauseTimeout, Err: err}
 	case errors.As(err, &timeout), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
 		return &Error{Begun: begun, Cause: CauseLost, Err: err}
 	default:
-		return &Error{Begun: begun, Cause: CauseMalformed, Err: err}
+		return &Error{Begun: begun, Cause: CauseMalformed, Err: brief(err)}
+	}
+}
+
+// brief cuts the text of an error that quotes what a target has sent.
+func brief(err error) error {
+	const maxText = 200
+	text := err.Error()
+	if len(text) <= maxText {
+		return err
 	}
+	return errors.New(strings.ToValidUTF8(text[:maxText], "") + " ...")
 }
--- a/snipeconn/fuzz_test.go
+++ b/snipeconn/fuzz_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 )
@@ -18,6 +19,8 @@
 	f.Add([]byte(answer("2", "no") + answer("1", "ok")))
 	f.Add([]byte(answer("1", "ok") + "x"))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Id: 1\r\n\r\n2\r\nok\r\n0\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Id: 1\r\n\r\n2;ext=1\r\nok\r\n0\r\nX-Trailer: a\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Long: " + strings.Repeat("a", 64<<10) + "\r\n\r\n"))
 	f.Add([]byte("HTTP/1.1 204 No Content\r\nX-Id: 1\r\n\r\n"))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nunframed"))
 	f.Fuzz(func(t *testing.T, data []byte) {
@@ -30,7 +33,7 @@
 			_ = far.Close()
 		}()
 		p := New(Settings{})
-		c := &conn{Conn: near, address: "a", reader: bufio.NewReaderSize(near, readBufferBytes)}
+		c := newConn(near, "a")
 		r := request("a", "1", 300*time.Millisecond)
 		e := &exchange{pools: p, conn: c, request: r, ctx: context.Background()}
 		resp, err := e.run()
--- a/snipeconn/pool.go
+++ b/snipeconn/pool.go
@@ -26,6 +26,20 @@
 	// BufferedBody bounds the bytes of an answer that are held back until the
 	// answer is complete; default 256 KiB.
 	BufferedBody int64
+	// HeadBytes bounds the head of an answer; default 32 KiB.
+	HeadBytes int64
+	// AnswerBytes bounds the body of an answer; default 64 MiB.
+	AnswerBytes int64
+	// Memory is what all answers that are held back share, or nil for no bound.
+	Memory Memory
+}
+
+// Memory is a number of bytes that several parts share.
+type Memory interface {
+	// TryAcquire takes n bytes, or reports false if there are fewer.
+	TryAcquire(n int64) bool
+	// Release returns n bytes.
+	Release(n int64)
 }
 
 func (s Settings) withDefaults() Settings {
@@ -41,6 +55,12 @@
 	if s.BufferedBody == 0 {
 		s.BufferedBody = 256 << 10
 	}
+	if s.HeadBytes == 0 {
+		s.HeadBytes = 32 << 10
+	}
+	if s.AnswerBytes == 0 {
+		s.AnswerBytes = 64 << 20
+	}
 	return s
 }
 
@@ -71,6 +91,7 @@
 	net.Conn
 	address string
 	reader  *bufio.Reader
+	meter   *headMeter
 	// expires is when the connection is too old for reuse.
 	expires time.Time
 }
@@ -110,7 +131,12 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	return newConn(raw, address), nil
+}
+
+func newConn(raw net.Conn, address string) *conn {
+	meter := &headMeter{conn: raw}
+	return &conn{Conn: raw, address: address, meter: meter, reader: bufio.NewReaderSize(meter, readBufferBytes)}
 }
 
 func (p *Pools) put(c *conn, now time.Time, keepAlive time.Duration) {
--- a/snipefront/callers.go
+++ b/snipefront/callers.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/net/netutil"
 
 	"github.com/snipemoor/snipemoor/snipetable"
 )
@@ -22,6 +23,9 @@
 	// lingerShare is the part of the grace period in which a stopping front still
 	// takes connections of callers that have not heard of the stop.
 	lingerShare = 0.65
+	// callerShare is the part of the descriptors that callers' connections may use,
+	// so that each request finds one for its target.
+	callerShare = 0.45
 	// exitMargin is left of the grace period when the last requests are ended.
 	exitMargin = 700 * time.Millisecond
 )
@@ -58,10 +62,14 @@
 }
 
 func (f *Front) callers(ctx context.Context) error {
-	l, err := net.Listen("tcp4", f.settings.Load().Callers)
+	settings := f.settings.Load()
+	l, err := net.Listen("tcp4", settings.Callers)
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
+	if settings.Descriptors > 0 {
+		l = netutil.LimitListener(l, int(callerShare*float64(settings.Descriptors)))
+	}
 	server := newCallersServer(f.tables.Current().Limits(), f.gate)
 	server.ErrorLog = zap.NewStdLog(f.log)
 	served := make(chan error, 1)
--- a/snipefront/front.go
+++ b/snipefront/front.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/zap"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/snipemoor/snipemoor/platform"
 	"github.com/snipemoor/snipemoor/snipeconn"
@@ -36,6 +37,16 @@
 	// memoryShare is the part of the process's memory at which the garbage
 	// collector works harder.
 	memoryShare = 0.6
+	// bodyMemoryShare is the part that the bodies of requests and answers share.
+	bodyMemoryShare = 0.25
+	// defaultMemory is the memory of the process, in bytes, where the settings state
+	// none.
+	defaultMemory = 256 << 20
+	// maxSmallHead bounds the heads of requests to the directory, readiness and
+	// metrics, and smallTimeout the time in which such a request is read and its
+	// answer taken.
+	maxSmallHead = 16 << 10
+	smallTimeout = 10 * time.Second
 )
 
 // Front is one process between callers and targets.
@@ -71,11 +82,12 @@
 	if err != nil {
 		return nil, err
 	}
+	memory := newBodyMemory(s.MemoryBytes)
 	f := &Front{
 		load: load, metrics: metrics, log: log, registry: prometheus.NewRegistry(),
 		store: platform.NewStore(s.Store), decoder: platform.NewDecoder(s.Regions),
 		timers: snipetime.New(), fleet: snipefleet.New(), tables: &snipetable.Holder{},
-		pools:   snipeconn.New(snipeconn.Settings{}),
+		pools:   snipeconn.New(snipeconn.Settings{Memory: memory}),
 		chooser: snipeplacement.New(s.Name, s.Place),
 	}
 	self := snipefleet.Member{Name: s.Name, Address: s.Callers, Peer: s.Peers, Place: s.Place}
@@ -88,6 +100,7 @@
 	f.gate = snipegate.New(snipegate.Dependencies{
 		Dialect: platform.Headers{}, Tables: f.tables, Fleet: f.fleet, Chooser: f.chooser,
 		Sender: f.pools, Clock: f.timers, Metrics: snipegate.NewMetrics(f.registry), Log: requests,
+		Memory: memory,
 		Budget: func() sniperetry.BudgetSettings {
 			return budget(f.settings.Load().Bounds, len(f.fleet.View().Members()))
 		},
@@ -116,6 +129,15 @@
 	return nil
 }
 
+// newBodyMemory returns the memory for the bodies of requests and answers of a
+// process that may use the given number of bytes, or zero if that is not known.
+func newBodyMemory(process int64) *semaphore.Weighted {
+	if process == 0 {
+		process = defaultMemory
+	}
+	return semaphore.NewWeighted(int64(bodyMemoryShare * float64(process)))
+}
+
 func (f *Front) registerConnections() {
 	opened := func() float64 { n, _ := f.pools.Counts(); return float64(n) }
 	reused := func() float64 { _, n := f.pools.Counts(); return float64(n) }
@@ -156,7 +178,9 @@
 func (f *Front) Run(ctx context.Context) error {
 	defer f.timers.Close()
 	settings := f.settings.Load()
-	debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
+	if settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
+	}
 	f.log.Info("start", zap.String("front", settings.Name), zap.String("domain", settings.Place.Domain),
 		zap.String("callers", settings.Callers), zap.String("store", settings.Store), zap.String("metrics", f.metrics))
 	f.timers.Every(sweepEvery, func(snipetime.Instant) { f.sweep() })
@@ -211,7 +235,10 @@
 
 // serve returns an actor that serves one of the small interfaces.
 func (f *Front) serve(name, address string, h http.Handler) (execute func() error, interrupt func(error)) {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(f.log)}
+	server := &http.Server{
+		Handler: h, MaxHeaderBytes: maxSmallHead, ReadHeaderTimeout: headerTimeout, ReadTimeout: smallTimeout,
+		WriteTimeout: smallTimeout, IdleTimeout: idleTimeout, ErrorLog: zap.NewStdLog(f.log),
+	}
 	return func() error {
 			l, err := net.Listen("tcp4", address)
 			if err != nil {
--- a/snipegate/attempts.go
+++ b/snipegate/attempts.go
@@ -165,8 +165,12 @@
 		q.outcome, result.Broken = OutcomeTimeout, true
 	case snipeconn.CauseCancelled:
 		q.outcome = OutcomeCallerGone
-	case snipeconn.CauseLost, snipeconn.CauseMalformed:
+	case snipeconn.CauseLost:
 		q.outcome, result.Broken = OutcomeLost, true
+	case snipeconn.CauseMalformed:
+		q.outcome, result.Broken = OutcomeMalformed, true
+	case snipeconn.CauseTooLong:
+		q.outcome, result.Broken = OutcomeTooLong, true
 	}
 	q.gate.Chooser.Done(q.gate.Clock.Now(), t, result)
 	if failure.Begun {
@@ -178,9 +182,12 @@
 func (q *request) answered(t *snipefleet.Target, sent time.Time, resp *snipeconn.Response) verdict {
 	s := q.gate.Dialect.Statement(resp.Status, resp.Header)
 	q.reused = resp.Reused
-	q.gate.Chooser.Done(q.gate.Clock.Now(), t, snipeplacement.Result{
-		Latency: time.Since(sent), Load: s.Load, Answered: !s.NotRun,
-	})
+	result := snipeplacement.Result{Latency: time.Since(sent), Load: s.Load, Answered: !s.NotRun}
+	if resp.Rest == nil {
+		q.gate.Chooser.Done(q.gate.Clock.Now(), t, result)
+	} else {
+		defer func() { q.streamed(t, result) }()
+	}
 	switch {
 	case s.Misaddressed:
 		q.gate.Fleet.Misaddressed(t)
@@ -210,6 +217,17 @@
 	return final
 }
 
+// streamed notes the end of an answer that was passed on as it came. The load that
+// it states is that of its beginning.
+func (q *request) streamed(t *snipefleet.Target, result snipeplacement.Result) {
+	var failure *snipeconn.Error
+	if errors.As(q.cause, &failure) && failure.Cause != snipeconn.CauseCancelled {
+		result.Answered, result.Broken = false, true
+	}
+	result.Load = nil
+	q.gate.Chooser.Done(q.gate.Clock.Now(), t, result)
+}
+
 // hasFreeSlot reports whether a target states that a slot is free.
 func hasFreeSlot(l *snipeplacement.Load) bool {
 	return l != nil && l.Running+l.Waiting < l.Slots
--- a/snipegate/bench_test.go
+++ b/snipegate/bench_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/snipemoor/snipemoor/snipeconn"
 	"github.com/snipemoor/snipemoor/snipefleet"
@@ -43,7 +44,7 @@
 	tables.Offer(table)
 	gate := httptest.NewServer(New(Dependencies{
 		Dialect: dialect{}, Tables: &tables, Fleet: fleet, Chooser: snipeplacement.New("f", snipefleet.Place{}),
-		Sender: snipeconn.New(snipeconn.Settings{}), Clock: clock, Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(),
+		Sender: snipeconn.New(snipeconn.Settings{}), Clock: clock, Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(), Memory: semaphore.NewWeighted(1 << 20),
 		Budget: func() sniperetry.BudgetSettings { return sniperetry.BudgetSettings{} },
 	}))
 	defer gate.Close()
--- /dev/null
+++ b/snipegate/bounds_test.go
@@ -0,0 +1,202 @@
+package snipegate
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/semaphore"
+
+	"github.com/snipemoor/snipemoor/snipeconn"
+	"github.com/snipemoor/snipemoor/snipefleet"
+	"github.com/snipemoor/snipemoor/snipetable"
+)
+
+// TestBodyMemory guards against bodies that use up the memory of the process: a
+// request that finds none is refused at once, and what it took is given back.
+func TestBodyMemory(t *testing.T) {
+	const memory = 40 << 10
+	body := strings.Repeat("b", 30<<10)
+	cases := map[string]struct {
+		taken  int64
+		length int64 // -1: in chunks
+		status int
+	}{
+		"enough":            {0, int64(len(body)), http.StatusOK},
+		"enough for chunks": {0, -1, http.StatusOK},
+		"used up":           {20 << 10, int64(len(body)), http.StatusServiceUnavailable},
+		"used up by chunks": {20 << 10, -1, http.StatusServiceUnavailable},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, snipetable.Upload, ok("x"))
+			limitBodies(t, r, 1<<20)
+			pool := semaphore.NewWeighted(memory)
+			r.gate.Memory = pool
+			if !pool.TryAcquire(tc.taken) {
+				t.Fatal("memory is not taken")
+			}
+			req := httptest.NewRequest(http.MethodPost, "/", io.MultiReader(strings.NewReader(body)))
+			req.ContentLength, req.Host = tc.length, "h"
+			req.Header.Set("Id", "1")
+			w := httptest.NewRecorder()
+			r.gate.ServeHTTP(w, req)
+			if w.Code != tc.status {
+				t.Fatalf("status %d, want %d", w.Code, tc.status)
+			}
+			if told := w.Header().Get("Retry-After") != ""; refused(w) != told || refused(w) != (len(r.script.sent) == 0) {
+				t.Errorf("refused %v with header %v after %d sends", refused(w), w.Header(), len(r.script.sent))
+			}
+			if !refused(w) && string(r.script.sent[0].Body) != body {
+				t.Error("the target gets another body")
+			}
+			pool.Release(tc.taken)
+			if !pool.TryAcquire(memory) {
+				t.Error("memory of an ended request is still held")
+			}
+		})
+	}
+}
+
+func refused(w *httptest.ResponseRecorder) bool { return w.Code == http.StatusServiceUnavailable }
+
+// limitBodies puts a table in force that allows bodies of n bytes.
+func limitBodies(t *testing.T, r *rig, n int64) {
+	t.Helper()
+	old := r.gate.Tables.Current()
+	table, err := snipetable.New(old.Version()+1, []snipetable.Route{*old.Match("h", "/")}, []snipetable.Service{{Name: "s"}}, snipetable.Limits{BodyBytes: n})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.gate.Tables.Offer(table)
+}
+
+// endlessTarget is a target that sends a beginning and then a repeated text,
+// until its connection closes. It tells each close to closed.
+func endlessTarget(t *testing.T, begin, repeat string, closed chan<- struct{}) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	const copies = 1 << 10
+	text := strings.Repeat(repeat, copies)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+					return
+				}
+				_, err := io.WriteString(c, begin)
+				for err == nil {
+					_, err = io.WriteString(c, text)
+				}
+				closed <- struct{}{}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// serveOver returns the address of a gate that sends to one target over real
+// connections.
+func serveOver(t *testing.T, r *rig, target string) string {
+	t.Helper()
+	for _, id := range []string{"a", "b", "c"} {
+		r.fleet.Remove(0, id)
+	}
+	r.fleet.Report(0, snipefleet.TargetReport{ID: "endless", Service: "s", Address: target, Slots: 4, Born: 1})
+	r.gate.Sender = snipeconn.New(snipeconn.Settings{AnswerBytes: 1 << 20, BufferedBody: 64 << 10})
+	server := httptest.NewServer(r.gate)
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+func get(t *testing.T, address string) (*http.Response, error) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodGet, "http://"+address+"/", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h"
+	req.Header.Set("Id", "1")
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: time.Minute}
+	return client.Do(req)
+}
+
+// TestEndlessAnswer guards against an answer without end that is delivered as a
+// whole one, or whose target goes on to get requests.
+func TestEndlessAnswer(t *testing.T) {
+	const signed = "HTTP/1.1 200 OK\r\nId: 1\r\nSigned: 1\r\n"
+	cases := map[string]struct{ begin, repeat string }{
+		"head":            {signed, "X-More: of it\r\n"},
+		"body":            {signed + "\r\n", "body"},
+		"chunks":          {signed + "Transfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n"},
+		"no answer":       {"", "\x00\x01"},
+		"interim answers": {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, snipetable.NonIdempotent)
+			closed := make(chan struct{}, 2)
+			address := serveOver(t, r, endlessTarget(t, tc.begin, tc.repeat, closed))
+			for range 2 {
+				resp, err := get(t, address)
+				if err != nil {
+					t.Fatal(err)
+				}
+				_, err = io.Copy(io.Discard, resp.Body)
+				_ = resp.Body.Close()
+				if cut := errors.Is(err, io.ErrUnexpectedEOF); cut == (resp.StatusCode == http.StatusBadGateway) {
+					t.Fatalf("status %d with body error %v, want a cut answer or a 502", resp.StatusCode, err)
+				}
+				<-closed
+			}
+			resp, err := get(t, address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = resp.Body.Close()
+			if resp.StatusCode != http.StatusServiceUnavailable {
+				t.Errorf("status %d after two failures of the only target, want 503", resp.StatusCode)
+			}
+		})
+	}
+}
+
+// TestCallerReadsNothing guards against callers that hold memory and connections
+// by not reading their answers.
+func TestCallerReadsNothing(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, snipetable.Idempotent)
+	closed := make(chan struct{}, 1)
+	target := endlessTarget(t, "HTTP/1.1 200 OK\r\nId: 1\r\nSigned: 1\r\nContent-Length: 900000000\r\n\r\n", "body", closed)
+	address := serveOver(t, r, target)
+	r.gate.Sender = snipeconn.New(snipeconn.Settings{AnswerBytes: 1 << 30})
+	c, err := net.Dial("tcp4", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	const routeTimeout = 500 * time.Millisecond
+	select {
+	case <-closed:
+	case <-time.After(2 * (routeTimeout + answerGrace)):
+		t.Error("the answer still waits for its caller")
+	}
+}
--- a/snipegate/gate.go
+++ b/snipegate/gate.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -40,6 +37,14 @@
 	Misaddressed(t *snipefleet.Target)
 }
 
+// Memory is a number of bytes that several parts share.
+type Memory interface {
+	// TryAcquire takes n bytes, or reports false if there are fewer.
+	TryAcquire(n int64) bool
+	// Release returns n bytes.
+	Release(n int64)
+}
+
 // Clock tells the time.
 type Clock interface {
 	Now() snipetime.Instant
@@ -55,6 +60,8 @@
 	Clock   Clock
 	Metrics *Metrics
 	Log     *zap.Logger
+	// Memory is what the bodies of all requests share.
+	Memory Memory
 	// Budget returns the parameters of the retry budget of a service.
 	Budget func() sniperetry.BudgetSettings
 }
@@ -82,6 +89,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	q := &request{gate: g, w: w, r: r, started: time.Now(), call: g.Dialect.Call(r.Header)}
+	defer q.releaseBody()
 	q.serve()
 	g.report(q)
 }
@@ -154,6 +162,8 @@
 	// spread replaces the object of a request without one.
 	spread string
 	body   []byte
+	// reserved is the part of the memory for bodies that the request holds.
+	reserved int64
 	// deadline ends the request.
 	deadline time.Time
 	tried    []*snipefleet.Target
@@ -209,9 +219,22 @@
 		wait = min(wait, q.call.Wait)
 	}
 	q.deadline = q.started.Add(wait)
+	// An answer that is ready at the deadline is still delivered.
+	q.set("write", http.NewResponseController(q.w).SetWriteDeadline, q.deadline.Add(answerGrace))
 	return true
 }
 
+// answerGrace is how long after the deadline a caller may take to read its answer.
+const answerGrace = 5 * time.Second
+
+// set sets a deadline of the caller's connection.
+func (q *request) set(name string, set func(time.Time) error, at time.Time) {
+	if err := set(at); err != nil {
+		q.gate.Log.Warn("deadline of a caller's connection is not set", zap.String("request", q.call.ID),
+			zap.String("deadline", name), zap.Error(err))
+	}
+}
+
 // requestURI returns the path and query as the caller sent them. A caller may
 // also send an absolute URI (RFC 9112, section 3.2.2).
 func requestURI(r *http.Request) string {
@@ -229,43 +252,6 @@
 	return strings.ToLower(host)
 }
 
-// defaultBodyBytes bounds a body where the configuration states no limit.
-const defaultBodyBytes = 16 << 20
-
-func (q *request) readBody() bool {
-	if q.r.ContentLength == 0 {
-		return true
-	}
-	limit := q.table.Limits().BodyBytes
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
-	control := http.NewResponseController(q.w)
-	if err := control.SetReadDeadline(q.deadline); err != nil {
-		q.gate.Log.Warn("no deadline for a body", zap.String("request", q.call.ID), zap.Error(err))
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		q.cause = err
-		q.refuse(OutcomeBodyTimeout, 0)
-		return false
-	case errors.As(err, &tooLarge):
-		q.refuse(OutcomeBodyTooLarge, 0)
-		return false
-	case err != nil:
-		q.cause = err
-		q.refuse(OutcomeBodyBroken, 0)
-		return false
-	}
-	q.body = body
-	if err := control.SetReadDeadline(time.Time{}); err != nil {
-		q.gate.Log.Warn("deadline of a body stays", zap.String("request", q.call.ID), zap.Error(err))
-	}
-	return true
-}
-
 // refuse answers for the front itself.
 func (q *request) refuse(o Outcome, retryAfter time.Duration) {
 	q.outcome = o
--- a/snipegate/gate_test.go
+++ b/snipegate/gate_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/snipemoor/snipemoor/snipeconn"
 	"github.com/snipemoor/snipemoor/snipefleet"
@@ -108,7 +109,7 @@
 	tables.Offer(table)
 	r.gate = New(Dependencies{
 		Dialect: dialect{}, Tables: &tables, Fleet: r.fleet, Chooser: snipeplacement.New("f", snipefleet.Place{}),
-		Sender: r.script, Clock: clock, Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(),
+		Sender: r.script, Clock: clock, Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(), Memory: semaphore.NewWeighted(1 << 20),
 		Budget: func() sniperetry.BudgetSettings {
 			return sniperetry.BudgetSettings{Ratio: 1, MinimumPerSecond: 1, Cap: 10}
 		},
--- a/snipegate/outcome.go
+++ b/snipegate/outcome.go
@@ -20,10 +20,13 @@
 	OutcomeBodyTooLarge    Outcome = "bodyTooLarge"
 	OutcomeBodyBroken      Outcome = "bodyBroken"
 	OutcomeBodyTimeout     Outcome = "bodyTimeout"
+	OutcomeNoMemory        Outcome = "noMemory"
 	OutcomeCallerGone      Outcome = "callerGone"
 	OutcomeTimeout         Outcome = "timeout"
 	OutcomeUnreachable     Outcome = "targetUnreachable"
 	OutcomeLost            Outcome = "answerLost"
+	OutcomeMalformed       Outcome = "answerMalformed"
+	OutcomeTooLong         Outcome = "answerTooLong"
 	OutcomeCut             Outcome = "answerCut"
 	OutcomeUnsigned        Outcome = "answerUnsigned"
 )
