Watch callers that send requests ahead, and count such requests from their arrival

A request that waited also counted from the start of its handler, so its target was handed more time than was left.

--- /dev/null
+++ b/snipecaller/doc.go
@@ -0,0 +1,9 @@
+// Package snipecaller holds the connections of callers under net/http.
+//
+// Callers may send further requests before the first one is answered. net/http
+// answers them one after the other, and from the first byte of a further request
+// on it does not notice any more that the caller has closed the connection. The
+// connections of this package go on reading, up to a bound, so that a caller that
+// leaves ends all its requests, and they tell when a request arrived that waited
+// behind others.
+package snipecaller
--- a/snipefront/callers.go
+++ b/snipefront/callers.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/net/netutil"
 
+	"github.com/snipemoor/snipemoor/snipecaller"
 	"github.com/snipemoor/snipemoor/snipetable"
 )
 
@@ -73,7 +74,7 @@
 	server := newCallersServer(f.tables.Current().Limits(), f.gate)
 	server.ErrorLog = zap.NewStdLog(f.log)
 	served := make(chan error, 1)
-	go func() { served <- server.Serve(l) }()
+	go func() { served <- server.Serve(snipecaller.Listen(l)) }()
 	f.book.open.Store(true)
 	announced := make(chan struct{})
 	announceCtx, withdraw := context.WithCancel(context.Background())
@@ -114,7 +115,7 @@
 func newCallersServer(limits snipetable.Limits, h http.Handler) *http.Server {
 	s := &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		DisableGeneralOptionsHandler: true,
+		DisableGeneralOptionsHandler: true, ConnContext: snipecaller.Context,
 	}
 	if limits.HeaderTimeout > 0 {
 		s.ReadHeaderTimeout = limits.HeaderTimeout
--- a/snipegate/body.go
+++ b/snipegate/body.go
@@ -8,6 +8,8 @@
 	"os"
 	"slices"
 	"time"
+
+	"github.com/snipemoor/snipemoor/snipecaller"
 )
 
 const (
@@ -38,6 +40,7 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
+		snipecaller.BodyRead(q.r.Context())
 		q.set("read", control.SetReadDeadline, time.Time{})
 		return true
 	case errors.Is(err, errNoMemory):
--- a/snipegate/gate.go
+++ b/snipegate/gate.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/snipemoor/snipemoor/snipecaller"
 	"github.com/snipemoor/snipemoor/snipeconn"
 	"github.com/snipemoor/snipemoor/snipefleet"
 	"github.com/snipemoor/snipemoor/snipeplacement"
@@ -88,7 +89,8 @@
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	q := &request{gate: g, w: w, r: r, started: time.Now(), call: g.Dialect.Call(r.Header)}
+	q := &request{gate: g, w: w, r: r, started: snipecaller.Begin(r.Context()), call: g.Dialect.Call(r.Header)}
+	q.waited = time.Since(q.started)
 	defer q.releaseBody()
 	q.serve()
 	g.report(q)
@@ -101,6 +103,9 @@
 		zap.String("request", q.call.ID), zap.String("outcome", string(q.outcome)), zap.Int("status", q.status),
 		zap.Duration("took", elapsed), zap.Int("attempts", len(q.tried)), zap.Duration("wait", q.call.Wait),
 	}
+	if q.waited > reportedWait {
+		fields = append(fields, zap.Duration("waited", q.waited))
+	}
 	if q.route != nil {
 		kind = q.route.Kind.String()
 		fields = append(fields, zap.String("route", q.route.Name), zap.String("service", q.service),
@@ -149,10 +154,13 @@
 
 // request is one request of a caller on its way.
 type request struct {
-	gate    *Gate
-	w       http.ResponseWriter
-	r       *http.Request
+	gate *Gate
+	w    http.ResponseWriter
+	r    *http.Request
+	// started is when the request arrived, and waited is how long it waited behind
+	// others on its connection.
 	started time.Time
+	waited  time.Duration
 	call    Call
 
 	table   *snipetable.Table
@@ -219,11 +227,18 @@
 		wait = min(wait, q.call.Wait)
 	}
 	q.deadline = q.started.Add(wait)
+	if !time.Now().Before(q.deadline) {
+		q.refuse(OutcomeTimeout, 0)
+		return false
+	}
 	// An answer that is ready at the deadline is still delivered.
 	q.set("write", http.NewResponseController(q.w).SetWriteDeadline, q.deadline.Add(answerGrace))
 	return true
 }
 
+// reportedWait is the shortest wait behind other requests that is logged.
+const reportedWait = time.Millisecond
+
 // answerGrace is how long after the deadline a caller may take to read its answer.
 const answerGrace = 5 * time.Second
 
