--- a/snipecaller/conn_test.go
+++ b/snipecaller/conn_test.go
@@ -30,7 +30,7 @@
 	go func() { ended <- server.Serve(Listen(l)) }()
 	t.Cleanup(func() {
 		_ = server.Close()
-		<-ended
+		<-ended //nolint:errcheck // the error is that of the close
 	})
 	c, err := net.Dial("tcp4", l.Addr().String())
 	if err != nil {
