snipecaller: time each request that was sent ahead on its own

Also, TestOrder failed in 3 of 5 runs with the race detector: a deadline that interrupted the reading ahead was handed to a later read. Ruled out: the time of the last bytes (up to a request late). Change: heads are counted as they arrive, and each has its own time; bytes of bodies do not count. A deadline that passed is not kept.

--- a/snipecaller/conn.go
+++ b/snipecaller/conn.go
@@ -7,7 +7,6 @@
 	"net"
 	"os"
 	"sync"
-	"time"
 )
 
 // maxAhead bounds the bytes that are read ahead of net/http. A caller that has
@@ -44,10 +43,8 @@
 	ahead []byte
 	err   error
 	// reading says that readAhead runs.
-	reading bool
-	// first is when the first bytes after the request in hand were read, or zero;
-	// arrived is when that request arrived.
-	first, arrived time.Time
+	reading  bool
+	arrivals arrivals
 }
 
 func newConn(raw net.Conn) *conn {
@@ -64,9 +61,7 @@
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if n > 0 {
-		c.note()
-	}
+	c.arrivals.note(p[:n])
 	// net/http reads a single byte to notice that the caller leaves, and stops
 	// watching once it has one.
 	if n == 1 && len(p) == 1 && err == nil && !c.reading {
@@ -114,39 +109,16 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(data) > 0 {
-		c.note()
+		c.arrivals.note(data)
 		c.ahead = append(c.ahead, data...)
 		c.ready.Broadcast()
 	}
+	c.reading = err == nil && len(c.ahead) < maxAhead
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.gone()
+		// A deadline that passed is not kept: the next read meets the one then in
+		// force.
+		c.err = err
 	}
-	c.err = err
-	c.reading = err == nil && len(c.ahead) < maxAhead
 	return c.reading
 }
-
-// note notes that bytes arrived. It needs the lock.
-func (c *conn) note() {
-	if c.first.IsZero() {
-		c.first = time.Now()
-	}
-}
-
-// begin returns when the request that is taken in hand arrived. A request whose
-// bytes came with those before it arrived with them.
-func (c *conn) begin() time.Time {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.first.IsZero() {
-		c.arrived, c.first = c.first, time.Time{}
-	}
-	return c.arrived
-}
-
-// bodyRead notes that the bytes since begin belonged to the body of the request.
-func (c *conn) bodyRead() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.first = time.Time{}
-}
--- a/snipecaller/conn_test.go
+++ b/snipecaller/conn_test.go
@@ -99,7 +99,7 @@
 	const hold = 200 * time.Millisecond
 	waited := make(chan time.Duration, 4)
 	c := serve(t, func(_ http.ResponseWriter, r *http.Request) {
-		waited <- time.Since(Begin(r.Context()))
+		waited <- time.Since(Begin(r))
 		_, _ = io.Copy(io.Discard, r.Body)
 		BodyRead(r.Context())
 		if strings.HasPrefix(r.URL.Path, "/hold") {
@@ -130,6 +130,16 @@
 	}()
 	step(get("/hold/4"), 0, hold/2)
 	step("", hold/2, wait)
+	// Two requests come at different times while the first is served.
+	go func() {
+		time.Sleep(hold / 4)
+		_, _ = io.WriteString(c, get("/hold/9"))
+		time.Sleep(hold / 2)
+		_, _ = io.WriteString(c, get("/10"))
+	}()
+	step(get("/hold/8"), 0, hold/2)
+	step("", hold/2, hold)
+	step("", hold, hold*3/2)
 	body := "POST /hold/6 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n"
 	go func() {
 		time.Sleep(hold)
@@ -137,6 +147,10 @@
 	}()
 	step(body, 0, hold/2)
 	step(get("/7"), 0, hold/2)
+	// A body that looks like heads is none.
+	step("POST /11 HTTP/1.1\r\nHost: h\r\nContent-Length: 8\r\n\r\n\r\n\r\n\r\n\r\n", 0, hold/2)
+	time.Sleep(hold)
+	step(get("/12"), 0, hold/2)
 }
 
 // TestOrder guards against answers that are lost or crossed, and against a stop
--- a/snipecaller/context.go
+++ b/snipecaller/context.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"time"
 )
 
@@ -23,14 +24,18 @@
 	return context.WithValue(ctx, key{}, c)
 }
 
-// Begin returns when the request that a handler takes in hand arrived, which is
-// now for one that waited behind no other. ctx is the context of the request.
-func Begin(ctx context.Context) time.Time {
+// Begin returns when the head of a request that a handler takes in hand arrived,
+// or now if that is not known.
+func Begin(r *http.Request) time.Time {
 	now := time.Now()
-	if c, ok := ctx.Value(key{}).(*conn); ok {
-		if at := c.begin(); !at.IsZero() {
-			return at
-		}
+	c, ok := r.Context().Value(key{}).(*conn)
+	if !ok {
+		return now
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if at := c.arrivals.begin(r.ContentLength != 0); !at.IsZero() {
+		return at
 	}
 	return now
 }
@@ -38,6 +43,8 @@
 // BodyRead notes that a handler has read the whole body of its request.
 func BodyRead(ctx context.Context) {
 	if c, ok := ctx.Value(key{}).(*conn); ok {
-		c.bodyRead()
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.arrivals.bodyRead()
 	}
 }
--- a/snipegate/gate.go
+++ b/snipegate/gate.go
@@ -89,7 +89,7 @@
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	q := &request{gate: g, w: w, r: r, started: snipecaller.Begin(r.Context()), call: g.Dialect.Call(r.Header)}
+	q := &request{gate: g, w: w, r: r, started: snipecaller.Begin(r), call: g.Dialect.Call(r.Header)}
 	q.waited = time.Since(q.started)
 	defer q.releaseBody()
 	q.serve()
