A stopping front refuses what it could not answer before its end

The front takes requests for 65 % of the grace period, whatever their length. Ruled out: a shorter time for all requests (callers keep addresses for up to three times their time to live, and short requests end in time); the stale listing as the cause (the front had been up for 12 s). Change: after 30 % of the grace period the gate refuses, as not run and with Connection: close, each request whose deadline lies behind the end of the process.

--- a/snipefront/callers.go
+++ b/snipefront/callers.go
@@ -12,6 +12,7 @@
 	"golang.org/x/net/netutil"
 
 	"github.com/snipemoor/snipemoor/snipecaller"
+	"github.com/snipemoor/snipemoor/snipegate"
 	"github.com/snipemoor/snipemoor/snipetable"
 )
 
@@ -24,6 +25,9 @@
 	// lingerShare is the part of the grace period in which a stopping front still
 	// takes connections of callers that have not heard of the stop.
 	lingerShare = 0.65
+	// acceptShare is the part in which it takes each request, and after which only
+	// those that end before the process does.
+	acceptShare = 0.3
 	// callerShare is the part of the descriptors that callers' connections may use,
 	// so that each request finds one for its target.
 	callerShare = 0.45
@@ -99,10 +103,11 @@
 	grace := f.settings.Load().Bounds.Grace
 	f.log.Info("stopping", zap.Duration("grace", grace))
 	f.book.open.Store(false)
-	f.gate.Stop()
+	end := started.Add(grace - exitMargin)
+	f.gate.Stop(snipegate.Stop{Accept: started.Add(time.Duration(acceptShare * float64(grace))), End: end})
 	withdraw()
 	time.Sleep(time.Duration(lingerShare * float64(grace)))
-	ctx, cancel := context.WithDeadline(context.Background(), started.Add(grace-exitMargin))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
 		// The grace period is over; what is left ends with the process.
--- a/snipegate/gate.go
+++ b/snipegate/gate.go
@@ -70,7 +70,8 @@
 // Gate is the handler of the callers' requests.
 type Gate struct {
 	Dependencies
-	stopping atomic.Bool
+	// stopping is set once the front stops.
+	stopping atomic.Pointer[Stop]
 
 	mu      sync.Mutex
 	budgets map[string]*sniperetry.Budget
@@ -81,12 +82,27 @@
 	return &Gate{Dependencies: d, budgets: make(map[string]*sniperetry.Budget)}
 }
 
-// Stop makes the gate ask callers to close their connections.
-func (g *Gate) Stop() { g.stopping.Store(true) }
+// Stop is the end of a front.
+type Stop struct {
+	// Accept is until when each request is still taken. After that only those are
+	// whose deadline is before End, when the last requests are ended.
+	Accept, End time.Time
+}
+
+// Stop makes the gate ask callers to close their connections, and refuse requests
+// that it could not answer before its end.
+func (g *Gate) Stop(s Stop) { g.stopping.Store(&s) }
+
+// tooLate reports whether a request with a deadline comes too late to a front that
+// stops.
+func (g *Gate) tooLate(now, deadline time.Time) bool {
+	s := g.stopping.Load()
+	return s != nil && now.After(s.Accept) && deadline.After(s.End)
+}
 
 // ServeHTTP implements http.Handler.
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if g.stopping.Load() {
+	if g.stopping.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	q := &request{gate: g, w: w, r: r, started: snipecaller.Begin(r), call: g.Dialect.Call(r.Header)}
@@ -231,6 +247,10 @@
 		q.refuse(OutcomeTimeout, 0)
 		return false
 	}
+	if q.gate.tooLate(time.Now(), q.deadline) {
+		q.refuse(OutcomeStopping, 0)
+		return false
+	}
 	// An answer that is ready at the deadline is still delivered.
 	q.set("write", http.NewResponseController(q.w).SetWriteDeadline, q.deadline.Add(answerGrace))
 	return true
--- a/snipegate/gate_test.go
+++ b/snipegate/gate_test.go
@@ -285,6 +285,34 @@
 	}
 }
 
+// TestStopping guards against a request that a stopping front takes and cannot
+// answer before its end, and against refusing what it can.
+func TestStopping(t *testing.T) {
+	const timeout = 500 * time.Millisecond // of the route
+	cases := map[string]struct {
+		accept, end time.Duration
+		status      int
+	}{
+		"early":       {time.Minute, timeout / 2, http.StatusOK},
+		"enough time": {-time.Second, 2 * timeout, http.StatusOK},
+		"too late":    {-time.Second, timeout / 2, http.StatusServiceUnavailable},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, snipetable.NonIdempotent, ok("x"))
+			now := time.Now()
+			r.gate.Stop(Stop{Accept: now.Add(tc.accept), End: now.Add(tc.end)})
+			w := r.call(http.MethodPost, "/", "")
+			if w.Code != tc.status || w.Header().Get("Connection") != "close" {
+				t.Errorf("status %d with header %v, want %d and close", w.Code, w.Header(), tc.status)
+			}
+			if sent := len(r.script.sent) == 1; sent != (tc.status == http.StatusOK) {
+				t.Errorf("%d sends", len(r.script.sent))
+			}
+		})
+	}
+}
+
 // TestCallerGone guards against work for a caller that left before the request
 // was sent.
 func TestCallerGone(t *testing.T) {
--- a/snipegate/outcome.go
+++ b/snipegate/outcome.go
@@ -17,6 +17,7 @@
 	OutcomeNoConfiguration Outcome = "noConfiguration"
 	OutcomeNoRoute         Outcome = "noRoute"
 	OutcomeNoID            Outcome = "noRequestId"
+	OutcomeStopping        Outcome = "stopping"
 	OutcomeBodyTooLarge    Outcome = "bodyTooLarge"
 	OutcomeBodyBroken      Outcome = "bodyBroken"
 	OutcomeBodyTimeout     Outcome = "bodyTimeout"
