Fewer calls of fronts that the store refuses, and of those whose watcher started lately

Ruled out: slower repeats while the lease still runs (the entry would lapse for a single failure). Change: a front whose entry lapsed tries each second, which brings it back within the grace of lapsed entries; one whose watcher lacks changes asks the store for them first. TestPeerWithoutHistory fails on the code before.

--- a/snipesync/announcer.go
+++ b/snipesync/announcer.go
@@ -18,6 +18,9 @@
 	// renewEvery leaves room for a lost renewal and its repetition within
 	// memberTTL.
 	renewEvery = 1900 * time.Millisecond
+	// lapsedRetry is the pause after a failed call once the entry has lapsed. The
+	// entry has to be back within snipefleet.LapseGrace of the store's return.
+	lapsedRetry = time.Second
 )
 
 // Announcer keeps the entry of a front in the store until Withdraw.
@@ -29,6 +32,8 @@
 	log    *zap.Logger
 	lease  LeaseID
 	held   bool
+	// kept is when the lease was last taken or renewed.
+	kept time.Time
 	// failures counts the failed calls in a row.
 	failures int
 }
@@ -50,7 +55,7 @@
 				break
 			}
 			a.failed(err)
-			next = pause.NextBackOff()
+			next = a.retryIn(pause.NextBackOff())
 		} else {
 			a.succeeded()
 			pause.Reset()
@@ -60,6 +65,15 @@
 	a.withdraw()
 }
 
+// retryIn returns the pause after a failed call, given that of a backoff. There is
+// no hurry once the entry has lapsed, and many fronts can be refused together.
+func (a *Announcer) retryIn(backoff time.Duration) time.Duration {
+	if a.held && time.Since(a.kept) < memberTTL {
+		return backoff
+	}
+	return max(backoff, lapsedRetry)
+}
+
 // failed logs the first of a row of failures.
 func (a *Announcer) failed(err error) {
 	a.doubt()
@@ -91,8 +105,10 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if a.held {
+		began := time.Now()
 		err := a.store.Renew(ctx, a.lease)
 		if err == nil {
+			a.kept = began
 			return nil
 		}
 		if !errors.Is(err, ErrLeaseEnded) {
@@ -101,6 +117,7 @@
 		a.log.Info("lease ended", zap.Uint64("lease", uint64(a.lease)))
 		a.held = false
 	}
+	began := time.Now()
 	lease, ttl, err := a.store.Lease(ctx, memberTTL)
 	if err != nil {
 		return fmt.Errorf("take a lease: %w", err)
@@ -108,7 +125,7 @@
 	if err := a.store.Announce(ctx, lease, a.member); err != nil {
 		return fmt.Errorf("announce the front: %w", err)
 	}
-	a.lease, a.held = lease, true
+	a.lease, a.held, a.kept = lease, true, began
 	a.log.Info("announced", zap.Uint64("lease", uint64(lease)), zap.Duration("ttl", ttl))
 	return nil
 }
--- a/snipesync/follower.go
+++ b/snipesync/follower.go
@@ -152,6 +152,12 @@
 	switch {
 	case ctx.Err() != nil:
 		return false
+	case errors.Is(err, snipefeed.ErrHistoryLost) && f.storeServes(choice):
+		// The other front can have started lately. The store keeps more changes, and
+		// a call for them costs less than a listing.
+		f.Log.Info("front does not keep the changes", zap.String("peer", choice.Peer), zap.Uint64("after", uint64(before)))
+		f.Plan.Stale(now, choice.Peer)
+		return false
 	case errors.Is(err, snipefeed.ErrHistoryLost):
 		f.Log.Info("store history lost", zap.Uint64("after", uint64(before)), zap.String("outcome", "list again"))
 		f.listed = false
@@ -182,6 +188,12 @@
 	return true
 }
 
+// storeServes reports whether the store can be asked for what another front does
+// not have.
+func (f *Follower) storeServes(choice snipefeed.Choice) bool {
+	return choice.Peer != "" && !choice.Substitute && !f.away
+}
+
 // retryIn returns when the store is asked again after it did not answer.
 func (f *Follower) retryIn(choice snipefeed.Choice) time.Duration {
 	delay := f.retry.NextBackOff()
--- a/snipesync/peers_test.go
+++ b/snipesync/peers_test.go
@@ -25,11 +25,18 @@
 	// silent calls wait until their context ends.
 	silent bool
 	asked  int
+	// listed counts the listings.
+	listed int
 }
 
 func (p *fakePeer) At(string) snipefeed.Source { return p }
 
-func (p *fakePeer) List(context.Context) (snipefeed.Batch, error) { return p.log.All(p.clock.Now()) }
+func (p *fakePeer) List(context.Context) (snipefeed.Batch, error) {
+	p.mu.Lock()
+	p.listed++
+	p.mu.Unlock()
+	return p.log.All(p.clock.Now())
+}
 
 func (p *fakePeer) Watch(ctx context.Context, after snipefeed.Revision, wait time.Duration) (snipefeed.Batch, error) {
 	p.mu.Lock()
@@ -229,3 +236,47 @@
 		t.Errorf("%d listings, %d stale ones", r.store.listed, r.store.staleLists)
 	}
 }
+
+// TestPeerWithoutHistory guards against whole listings by fronts whose watcher has
+// started after them and does not keep the changes that they ask for.
+func TestPeerWithoutHistory(t *testing.T) {
+	r, peer := newListener(t)
+	peer.log.Replace(r.clock.Now(), snipefeed.Batch{At: 5})
+	r.run(t)
+	r.store.update(func() { r.store.at, r.store.changes = 6, []Change{table(t, 2)} })
+	until(t, "new configuration", func() bool { return r.tables.Current().Version() == 2 })
+	peer.log.Append(r.clock.Now(), snipefeed.Batch{At: 6})
+	asked := peer.calls()
+	until(t, "the other front is asked again", func() bool { return peer.calls() > asked })
+	r.store.mu.Lock()
+	defer r.store.mu.Unlock()
+	peer.mu.Lock()
+	defer peer.mu.Unlock()
+	if r.store.listed+peer.listed != 0 {
+		t.Errorf("%d listings of the store, %d of the other front", r.store.listed, peer.listed)
+	}
+}
+
+// TestLapsedRetry guards against fronts that call a store again and again which
+// refuses them, and against one that gives its lease up for a single failure.
+func TestLapsedRetry(t *testing.T) {
+	now := time.Now()
+	cases := map[string]struct {
+		held bool
+		kept time.Time
+		want time.Duration
+	}{
+		"renewed lately":  {true, now, firstBackoff},
+		"lapsed":          {true, now.Add(-memberTTL), lapsedRetry},
+		"never announced": {false, time.Time{}, lapsedRetry},
+	}
+	for name, tc := range cases {
+		a := &Announcer{held: tc.held, kept: tc.kept}
+		if got := a.retryIn(firstBackoff); got != tc.want {
+			t.Errorf("%s: retries in %v, want %v", name, got, tc.want)
+		}
+	}
+	if lapsedRetry+callTimeout/2 > snipefleet.LapseGrace {
+		t.Errorf("an entry is back %v after the store, later than %v", lapsedRetry+callTimeout/2, snipefleet.LapseGrace)
+	}
+}
