One front in 32 of a group watches the store

Ruled out: one watcher for each region (fronts of a group tell each other loads, which would then cross failure domains). Change: frontsPerWatcher is 32. A watcher serves at most 31 others; a group without one asks the store as before.

--- a/snipefeed/plan.go
+++ b/snipefeed/plan.go
@@ -13,7 +13,7 @@
 const (
 	// frontsPerWatcher is the number of fronts of a group for which one watches the
 	// store. It bounds the sessions of a watcher.
-	frontsPerWatcher = 16
+	frontsPerWatcher = 32
 	// domainFronts is the number of fronts from which on a failure domain is a
 	// group of its own, so that what its fronts tell each other stays inside it.
 	domainFronts = 6
