Forward requests that callers send ahead before their turn

Cause: net/http answers the requests of a connection one after the other. Ruled out: a server of our own (it would take over parsing, limits and stops). Change: snipecaller tells heads apart and hands those that wait to the gate, which begins idempotent ones and holds their answers until net/http calls for them. A connection that has carried a body is left alone, so that nothing inside a body becomes a request. The counting of bytes of bodies is gone with it.

--- a/snipecaller/arrivals.go
+++ b/snipecaller/arrivals.go
@@ -1,62 +1,85 @@
 package snipecaller
 
-import "time"
+import (
+	"bytes"
+	"time"
+)
 
 const (
 	// headEnd ends the head of a request.
 	headEnd = "\r\n\r\n"
-	// maxArrivals bounds the requests whose arrival is kept.
-	maxArrivals = 64
+	// maxHead bounds the heads that are told apart.
+	maxHead = 8 << 10
+	// maxWaiting bounds the requests of a connection whose arrival is kept.
+	maxWaiting = 64
 )
 
-// arrivals keeps when the heads of requests on a connection were complete, in the
-// order of the requests.
-type arrivals struct {
-	times []time.Time
-	// matched is how much of headEnd the bytes so far end with.
+// arrival is a request whose head is complete.
+type arrival struct {
+	at   time.Time
+	head []byte
+	// begun is the answer that was begun ahead of its turn, or nil.
+	begun *ahead
+	// taken says that its turn has come.
+	taken bool
+}
+
+// splitter divides the bytes of a connection into the heads of requests. It gives
+// up for good at the first request with a body, because bytes of a body must not
+// be taken for a request.
+type splitter struct {
+	head    []byte
 	matched int
-	// inBody says that bytes belong to the body of the request in hand, or that
-	// its handler has not read the body.
-	inBody bool
+	lost    bool
 }
 
-// note takes bytes as they arrive.
-func (a *arrivals) note(data []byte) {
-	if a.inBody {
-		return
+// split returns the requests whose heads data completes.
+func (s *splitter) split(data []byte) []*arrival {
+	var out []*arrival
+	for !s.lost && len(data) > 0 {
+		n, complete := s.scan(data)
+		s.head = append(s.head, data[:n]...)
+		data = data[n:]
+		if len(s.head) > maxHead {
+			s.lost, s.head = true, nil
+			break
+		}
+		if complete {
+			out = append(out, &arrival{at: time.Now(), head: s.head})
+			s.lost = mayHaveBody(s.head)
+			s.head, s.matched = nil, 0
+		}
 	}
-	for _, b := range data {
-		switch {
-		case b == headEnd[a.matched]:
-			a.matched++
-		case b == headEnd[0]:
-			a.matched = 1
+	return out
+}
+
+// scan returns how many bytes of data belong to the head that is being read, and
+// whether they complete it.
+func (s *splitter) scan(data []byte) (n int, complete bool) {
+	for i, b := range data {
+		switch b {
+		case headEnd[s.matched]:
+			s.matched++
+		case headEnd[0]:
+			s.matched = 1
 		default:
-			a.matched = 0
+			s.matched = 0
 		}
-		if a.matched == len(headEnd) {
-			a.matched = 0
-			if len(a.times) < maxArrivals {
-				a.times = append(a.times, time.Now())
-			}
+		if s.matched == len(headEnd) {
+			return i + 1, true
 		}
 	}
+	return len(data), false
 }
 
-// begin returns when the request that is taken in hand arrived, or the zero time
-// if that is not known. What follows a body in the same bytes is not known.
-func (a *arrivals) begin(hasBody bool) time.Time {
-	var at time.Time
-	if !a.inBody && len(a.times) > 0 {
-		at = a.times[0]
-		a.times = a.times[1:]
-	}
-	if hasBody || a.inBody {
-		a.times, a.matched = nil, 0
+// mayHaveBody reports whether a head names what can be followed by other bytes
+// than a further head.
+func mayHaveBody(head []byte) bool {
+	lower := bytes.ToLower(head)
+	for _, name := range []string{"content-length", "transfer-encoding", "upgrade", "expect"} {
+		if bytes.Contains(lower, []byte("\n"+name)) {
+			return true
+		}
 	}
-	a.inBody = hasBody
-	return at
+	return false
 }
-
-// bodyRead notes that the body of the request in hand was read.
-func (a *arrivals) bodyRead() { a.inBody = false }
--- a/snipecaller/conn.go
+++ b/snipecaller/conn.go
@@ -16,11 +16,12 @@
 // listener returns connections of this package.
 type listener struct {
 	net.Listener
+	begin Begin
 }
 
 // Listen returns a listener whose connections are those of l, read ahead where
-// callers send ahead.
-func Listen(l net.Listener) net.Listener { return listener{l} }
+// callers send ahead. begin may begin answers ahead of their turn; nil begins none.
+func Listen(l net.Listener, begin Begin) net.Listener { return listener{l, begin} }
 
 // Accept implements net.Listener.
 func (l listener) Accept() (net.Conn, error) {
@@ -28,13 +29,16 @@
 	if err != nil {
 		return nil, fmt.Errorf("accept: %w", err)
 	}
-	return newConn(raw), nil
+	return newConn(raw, l.begin), nil
 }
 
 // conn is one connection of a caller.
 type conn struct {
 	net.Conn
-	// gone is called once the caller has closed the connection.
+	beginAhead Begin
+	// ctx is the context of its requests, and gone ends it once the caller has
+	// closed the connection.
+	ctx  context.Context
 	gone context.CancelFunc
 
 	mu    sync.Mutex
@@ -43,12 +47,17 @@
 	ahead []byte
 	err   error
 	// reading says that readAhead runs.
-	reading  bool
-	arrivals arrivals
+	reading bool
+
+	heads splitter
+	// waiting are the requests that arrived and whose turn has not come, and busy
+	// says that one is being served.
+	waiting []*arrival
+	busy    bool
 }
 
-func newConn(raw net.Conn) *conn {
-	c := &conn{Conn: raw, gone: func() {}}
+func newConn(raw net.Conn, begin Begin) *conn {
+	c := &conn{Conn: raw, beginAhead: begin, ctx: context.Background(), gone: func() {}}
 	c.ready.L = &c.mu
 	return c
 }
@@ -61,7 +70,10 @@
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.arrivals.note(p[:n])
+	c.note(p[:n])
+	if ended(err) {
+		c.gone()
+	}
 	// net/http reads a single byte to notice that the caller leaves, and stops
 	// watching once it has one.
 	if n == 1 && len(p) == 1 && err == nil && !c.reading {
@@ -71,6 +83,18 @@
 	return n, err //nolint:wrapcheck // net/http compares the errors of a connection
 }
 
+// ended reports whether an error of a read is the end of the connection, and not a
+// deadline that passed.
+func ended(err error) bool { return err != nil && !errors.Is(err, os.ErrDeadlineExceeded) }
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	c.gone()
+	c.mu.Unlock()
+	return c.Conn.Close() //nolint:wrapcheck // as of the connection
+}
+
 // takeAhead returns what was read ahead, and reports false if nothing is read
 // ahead.
 func (c *conn) takeAhead(p []byte) (n int, err error, done bool) { //nolint:revive,staticcheck // done qualifies both others
@@ -109,12 +133,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(data) > 0 {
-		c.arrivals.note(data)
+		c.note(data)
 		c.ahead = append(c.ahead, data...)
 		c.ready.Broadcast()
 	}
 	c.reading = err == nil && len(c.ahead) < maxAhead
-	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+	if ended(err) {
 		c.gone()
 		// A deadline that passed is not kept: the next read meets the one then in
 		// force.
@@ -122,3 +146,21 @@
 	}
 	return c.reading
 }
+
+// note takes bytes as they arrive. It needs the lock.
+func (c *conn) note(data []byte) {
+	var behind []*arrival
+	for _, a := range c.heads.split(data) {
+		if len(c.waiting) == maxWaiting {
+			c.heads.lost = true
+			break
+		}
+		if c.busy || len(c.waiting) > 0 {
+			behind = append(behind, a)
+		}
+		c.waiting = append(c.waiting, a)
+	}
+	if len(behind) > 0 && c.beginAhead != nil {
+		go c.begin(behind)
+	}
+}
--- a/snipecaller/conn_test.go
+++ b/snipecaller/conn_test.go
@@ -20,6 +20,12 @@
 
 // serve serves callers with a handler and returns a connection of a caller.
 func serve(t *testing.T, h http.HandlerFunc) net.Conn {
+	t.Helper()
+	return serveBegin(t, nil, h)
+}
+
+// serveBegin is serve with answers that are begun ahead of their turn.
+func serveBegin(t *testing.T, begin Begin, h http.HandlerFunc) net.Conn {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -27,7 +33,7 @@
 	}
 	server := &http.Server{Handler: h, ConnContext: Context, ReadHeaderTimeout: wait}
 	ended := make(chan error, 1)
-	go func() { ended <- server.Serve(Listen(l)) }()
+	go func() { ended <- server.Serve(Listen(l, begin)) }()
 	t.Cleanup(func() {
 		_ = server.Close()
 		<-ended //nolint:errcheck // the error is that of the close
@@ -99,9 +105,10 @@
 	const hold = 200 * time.Millisecond
 	waited := make(chan time.Duration, 4)
 	c := serve(t, func(_ http.ResponseWriter, r *http.Request) {
-		waited <- time.Since(Begin(r))
+		arrived, _ := Take(r)
+		defer End(r)
+		waited <- time.Since(arrived)
 		_, _ = io.Copy(io.Discard, r.Body)
-		BodyRead(r.Context())
 		if strings.HasPrefix(r.URL.Path, "/hold") {
 			time.Sleep(hold)
 		}
--- a/snipecaller/context.go
+++ b/snipecaller/context.go
@@ -19,32 +19,58 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.gone = cancel
-	c.mu.Unlock()
-	return context.WithValue(ctx, key{}, c)
+	c.ctx = context.WithValue(ctx, key{}, c)
+	return c.ctx
+}
+
+func connOf(r *http.Request) *conn {
+	c, _ := r.Context().Value(key{}).(*conn)
+	return c
 }
 
-// Begin returns when the head of a request that a handler takes in hand arrived,
-// or now if that is not known.
-func Begin(r *http.Request) time.Time {
+// Take tells that the turn of a request has come. It returns when its head
+// arrived, or now if that is not known, and the handler that delivers its answer
+// if that was begun ahead, or nil. End must be called when the request is served.
+func Take(r *http.Request) (arrived time.Time, deliver http.Handler) {
 	now := time.Now()
-	c, ok := r.Context().Value(key{}).(*conn)
-	if !ok {
-		return now
+	c := connOf(r)
+	if c == nil {
+		return now, nil
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if at := c.arrivals.begin(r.ContentLength != 0); !at.IsZero() {
-		return at
+	c.busy = true
+	if len(c.waiting) == 0 {
+		return now, nil
+	}
+	a := c.waiting[0]
+	c.waiting = c.waiting[1:]
+	a.taken = true
+	if a.begun != nil && a.begun.answers(r) {
+		deliver = a.begun.deliver
 	}
-	return now
+	return a.at, deliver
 }
 
-// BodyRead notes that a handler has read the whole body of its request.
-func BodyRead(ctx context.Context) {
-	if c, ok := ctx.Value(key{}).(*conn); ok {
+// End tells that a request is served.
+func End(r *http.Request) {
+	if c := connOf(r); c != nil {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		c.arrivals.bodyRead()
+		c.busy = false
 	}
 }
+
+// Behind reports whether answers to requests behind r on its connection were
+// begun, so that the connection has to stay open.
+func Behind(r *http.Request) bool {
+	c := connOf(r)
+	if c == nil {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.begun() > 0
+}
--- a/snipefront/callers.go
+++ b/snipefront/callers.go
@@ -78,7 +78,7 @@
 	server := newCallersServer(f.tables.Current().Limits(), f.gate)
 	server.ErrorLog = zap.NewStdLog(f.log)
 	served := make(chan error, 1)
-	go func() { served <- server.Serve(snipecaller.Listen(l)) }()
+	go func() { served <- server.Serve(snipecaller.Listen(l, f.gate.Ahead)) }()
 	f.book.open.Store(true)
 	announced := make(chan struct{})
 	announceCtx, withdraw := context.WithCancel(context.Background())
--- a/snipegate/body.go
+++ b/snipegate/body.go
@@ -8,8 +8,6 @@
 	"os"
 	"slices"
 	"time"
-
-	"github.com/snipemoor/snipemoor/snipecaller"
 )
 
 const (
@@ -40,7 +38,6 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
-		snipecaller.BodyRead(q.r.Context())
 		q.set("read", control.SetReadDeadline, time.Time{})
 		return true
 	case errors.Is(err, errNoMemory):
--- a/snipegate/gate.go
+++ b/snipegate/gate.go
@@ -102,10 +102,16 @@
 
 // ServeHTTP implements http.Handler.
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if g.stopping.Load() != nil {
+	arrived, begun := snipecaller.Take(r)
+	defer snipecaller.End(r)
+	if begun != nil {
+		begun.ServeHTTP(w, r)
+		return
+	}
+	if g.stopping.Load() != nil && !snipecaller.Behind(r) {
 		w.Header().Set("Connection", "close")
 	}
-	q := &request{gate: g, w: w, r: r, started: snipecaller.Begin(r), call: g.Dialect.Call(r.Header)}
+	q := &request{gate: g, w: w, r: r, started: arrived, call: g.Dialect.Call(r.Header)}
 	q.waited = time.Since(q.started)
 	defer q.releaseBody()
 	q.serve()
@@ -119,6 +125,9 @@
 		zap.String("request", q.call.ID), zap.String("outcome", string(q.outcome)), zap.Int("status", q.status),
 		zap.Duration("took", elapsed), zap.Int("attempts", len(q.tried)), zap.Duration("wait", q.call.Wait),
 	}
+	if q.ahead {
+		fields = append(fields, zap.Bool("ahead", true))
+	}
 	if q.waited > reportedWait {
 		fields = append(fields, zap.Duration("waited", q.waited))
 	}
@@ -177,7 +186,9 @@
 	// others on its connection.
 	started time.Time
 	waited  time.Duration
-	call    Call
+	// ahead says that it is served before those in front of it are answered.
+	ahead bool
+	call  Call
 
 	table   *snipetable.Table
 	route   *snipetable.Route
@@ -232,8 +243,7 @@
 		return false
 	}
 	q.uri = requestURI(q.r)
-	path, _, _ := strings.Cut(q.uri, "?")
-	q.route = q.table.Match(hostName(q.r.Host), path)
+	q.route = matchRoute(q.table, q.r)
 	if q.route == nil {
 		q.refuse(OutcomeNoRoute, 0)
 		return false
@@ -270,6 +280,12 @@
 	}
 }
 
+// matchRoute returns the route of a request, or nil.
+func matchRoute(table *snipetable.Table, r *http.Request) *snipetable.Route {
+	path, _, _ := strings.Cut(requestURI(r), "?")
+	return table.Match(hostName(r.Host), path)
+}
+
 // requestURI returns the path and query as the caller sent them. A caller may
 // also send an absolute URI (RFC 9112, section 3.2.2).
 func requestURI(r *http.Request) string {
