Sum up in one line what a front learns before it takes callers

Cause: at the start each front logs a line for each of 810 targets and 195 fronts, against a bound of 1,000 lines a second. Ruled out: a higher bound (lines cost processor time just when all fronts start). Change: single lines begin after the line loaded, which holds version, revision, number of targets by service, fronts and evacuated domains.

--- a/snipefleet/types.go
+++ b/snipefleet/types.go
@@ -1,6 +1,8 @@
 package snipefleet
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/snipemoor/snipemoor/snipetime"
@@ -80,6 +82,18 @@
 // Evacuated reports whether a failure domain is evacuated.
 func (v *View) Evacuated(domain string) bool { return v.evacuated[domain] }
 
+// EvacuatedDomains returns the names of the evacuated failure domains in order.
+func (v *View) EvacuatedDomains() []string { return slices.Sorted(maps.Keys(v.evacuated)) }
+
+// Counts returns the number of usable targets by service.
+func (v *View) Counts() map[string]int {
+	out := make(map[string]int, len(v.targets))
+	for service, list := range v.targets {
+		out[service] = len(list)
+	}
+	return out
+}
+
 // ReturnedAt returns when the evacuation of a failure domain was last seen to
 // end, and false if none was.
 func (v *View) ReturnedAt(domain string) (snipetime.Instant, bool) {
--- a/snipesync/apply.go
+++ b/snipesync/apply.go
@@ -34,6 +34,17 @@
 	})
 }
 
+// logChange logs a change of what this front believes. What it learns before it
+// takes callers is summed up by markLoaded, because a large fleet would crowd other
+// lines out of the log.
+func (f *Follower) logChange(message string, fields ...zap.Field) {
+	level := zap.DebugLevel
+	if f.isLoaded() {
+		level = zap.InfoLevel
+	}
+	f.Log.Log(level, message, fields...)
+}
+
 // listedIn returns the names that a complete listing contains.
 func listedIn(changes []Change) snipefleet.Listed {
 	listed := snipefleet.Listed{Targets: map[string]bool{}, Members: map[string]bool{}, Evacuated: map[string]bool{}}
@@ -68,7 +79,7 @@
 		f.applyTable(c)
 	case KindEvacuation:
 		if f.Registry.Evacuate(now, c.Name, !c.Gone) {
-			f.Log.Info("evacuation", zap.String("domain", c.Name), zap.Bool("on", !c.Gone))
+			f.logChange("evacuation", zap.String("domain", c.Name), zap.Bool("on", !c.Gone))
 		}
 	}
 }
@@ -77,12 +88,12 @@
 	if c.Target == nil {
 		// An entry that cannot be read names no target to use.
 		if f.Registry.Remove(now, c.Name) {
-			f.Log.Info("target gone", zap.String("target", c.Name))
+			f.logChange("target gone", zap.String("target", c.Name))
 		}
 		return
 	}
 	if f.Registry.Report(now, *c.Target) {
-		f.Log.Info("target", zap.String("target", c.Name), zap.String("service", c.Target.Service),
+		f.logChange("target", zap.String("target", c.Name), zap.String("service", c.Target.Service),
 			zap.String("domain", c.Target.Place.Domain), zap.Bool("draining", c.Target.Draining),
 			zap.Int64("born", c.Target.Born), zap.Duration("cold", c.Target.Cold))
 	}
@@ -94,12 +105,12 @@
 			f.announceAgain()
 		}
 		if f.Registry.Leave(now, c.Name) {
-			f.Log.Info("front gone", zap.String("front", c.Name))
+			f.logChange("front gone", zap.String("front", c.Name))
 		}
 		return
 	}
 	if f.Registry.Join(*c.Member) {
-		f.Log.Info("front", zap.String("front", c.Name), zap.String("domain", c.Member.Place.Domain))
+		f.logChange("front", zap.String("front", c.Name), zap.String("domain", c.Member.Place.Domain))
 	}
 }
 
--- a/snipesync/follower.go
+++ b/snipesync/follower.go
@@ -376,14 +376,27 @@
 	}
 }
 
-func (f *Follower) markLoaded() {
+// isLoaded reports whether Loaded is closed.
+func (f *Follower) isLoaded() bool {
 	select {
 	case <-f.loaded:
+		return true
 	default:
-		if f.Tables.Current() != nil {
-			close(f.loaded)
-		}
+		return false
+	}
+}
+
+// markLoaded closes Loaded once a configuration is known.
+func (f *Follower) markLoaded() {
+	table := f.Tables.Current()
+	if f.isLoaded() || table == nil {
+		return
 	}
+	v := f.Registry.View()
+	f.Log.Info("loaded", zap.Uint64("version", table.Version()), zap.Uint64("revision", uint64(f.Items.At())),
+		zap.Bool("stale", f.stale), zap.Any("targets", v.Counts()), zap.Int("fronts", len(v.Members())),
+		zap.Strings("evacuated", v.EvacuatedDomains()))
+	close(f.loaded)
 }
 
 // sleep waits for about the given time, or until ctx ends. The jitter keeps the
--- a/snipesync/follower_test.go
+++ b/snipesync/follower_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/snipemoor/snipemoor/snipefleet"
 )
@@ -79,6 +80,29 @@
 	}
 }
 
+// TestLoadedLine guards against a start of a front in a large fleet that crowds
+// other lines out of the log, and against later changes that are not logged.
+func TestLoadedLine(t *testing.T) {
+	const targets = 500
+	r := newRig(t)
+	core, lines := observer.New(zap.InfoLevel)
+	r.follower.Log = zap.New(core)
+	r.store.changes = []Change{table(t, 1)}
+	for i := range targets {
+		r.store.changes = append(r.store.changes, targetChange(fmt.Sprint(i), 1, 1))
+	}
+	r.run(t)
+	loaded := lines.FilterMessage("loaded").All()
+	if len(loaded) != 1 || lines.FilterMessage("target").Len() != 0 {
+		t.Fatalf("%d lines, %d of them about the start", lines.Len(), len(loaded))
+	}
+	if got := fmt.Sprint(loaded[0].ContextMap()["targets"]); got != "map[s:500]" {
+		t.Errorf("targets %s, want 500 of s", got)
+	}
+	r.store.update(func() { r.store.at, r.store.changes = 2, []Change{targetChange("late", 1, 2)} })
+	until(t, "line about a later target", func() bool { return lines.FilterMessage("target").Len() == 1 })
+}
+
 // TestUnreadable guards against one unreadable item that spoils the others.
 func TestUnreadable(t *testing.T) {
 	r := newRig(t)
