--- a/snipegate/attempts.go
+++ b/snipegate/attempts.go
@@ -182,7 +182,8 @@
 func (q *request) answered(t *snipefleet.Target, sent time.Time, resp *snipeconn.Response) verdict {
 	s := q.gate.Dialect.Statement(resp.Status, resp.Header)
 	q.reused = resp.Reused
-	result := snipeplacement.Result{Latency: time.Since(sent), Load: s.Load, Answered: !s.NotRun}
+	tooSlow := resp.Status == http.StatusGatewayTimeout && !s.NotRun
+	result := snipeplacement.Result{Latency: time.Since(sent), Load: s.Load, Answered: !s.NotRun && !tooSlow, Broken: tooSlow}
 	if resp.Rest == nil {
 		q.gate.Chooser.Done(q.gate.Clock.Now(), t, result)
 	} else {
--- a/snipegate/gate_test.go
+++ b/snipegate/gate_test.go
@@ -381,3 +381,43 @@
 type brokenReader struct{}
 
 func (brokenReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+// results records what the gate tells of the ends of attempts.
+type results struct {
+	Chooser
+	ended []snipeplacement.Result
+}
+
+func (r *results) Done(now snipetime.Instant, t *snipefleet.Target, result snipeplacement.Result) {
+	r.ended = append(r.ended, result)
+	r.Chooser.Done(now, t, result)
+}
+
+// TestResults guards against a target that counts as sound although it runs
+// requests past their deadlines, and against one that counts as failing because it
+// answers with an error of its own or refuses a request.
+func TestResults(t *testing.T) {
+	cases := map[string]struct {
+		step             step
+		answered, broken bool
+	}{
+		"answer":            {ok("x"), true, false},
+		"error":             {status(http.StatusInternalServerError, "Signed"), true, false},
+		"refused":           {status(http.StatusServiceUnavailable, "Not-Run"), false, false},
+		"refused, too late": {status(http.StatusGatewayTimeout, "Not-Run"), false, false},
+		"past its deadline": {status(http.StatusGatewayTimeout, "Signed"), false, true},
+		"lost":              {failed(snipeconn.CauseLost, true), false, true},
+		"too long":          {failed(snipeconn.CauseTooLong, true), false, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, snipetable.Upload, tc.step)
+			seen := &results{Chooser: r.gate.Chooser}
+			r.gate.Chooser = seen
+			r.call(http.MethodPost, "/", "")
+			if first := seen.ended[0]; first.Answered != tc.answered || first.Broken != tc.broken {
+				t.Errorf("result %+v, want answered %v, broken %v", first, tc.answered, tc.broken)
+			}
+		})
+	}
+}
