Return the memory of answers that break off; accept goes on after a passing error

Cause, found in reading the diff: an answer that broke off while it was held back kept its part of the memory for bodies, so that after some hundreds of them uploads would have been refused. An error of Accept was wrapped, and net/http, which looks at its type, would have ended the front when it ran out of descriptors once. Ruled out by TestRefusedAfterPause: that the deadline for an answer stays in force for the next request of the connection; net/http resets it. Change: the exchange releases its memory on each failure; the listener returns the error as it is. Measured: TestMemoryReturned (2 of 6 cases) and TestAcceptGoesOn fail on the code before.

--- a/snipecaller/conn.go
+++ b/snipecaller/conn.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net"
 	"os"
 	"sync"
@@ -27,7 +26,7 @@
 func (l listener) Accept() (net.Conn, error) {
 	raw, err := l.Listener.Accept()
 	if err != nil {
-		return nil, fmt.Errorf("accept: %w", err)
+		return nil, err //nolint:wrapcheck // net/http goes on after errors of type net.Error that are temporary
 	}
 	return newConn(raw, l.begin), nil
 }
--- a/snipecaller/conn_test.go
+++ b/snipecaller/conn_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -55,6 +58,43 @@
 
 func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n" }
 
+// failing is a listener that runs out of descriptors once.
+type failing struct {
+	net.Listener
+	failed bool
+}
+
+func (f *failing) Accept() (net.Conn, error) {
+	if !f.failed {
+		f.failed = true
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	return f.Listener.Accept()
+}
+
+// TestAcceptGoesOn guards against a server that ends because one connection could
+// not be accepted.
+func TestAcceptGoesOn(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{ConnContext: Context, ReadHeaderTimeout: wait, ErrorLog: log.New(io.Discard, "", 0)}
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(Listen(&failing{Listener: l}, nil)) }()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: wait}
+	resp, err := client.Get("http://" + l.Addr().String())
+	if err != nil {
+		t.Error(err)
+	} else {
+		_ = resp.Body.Close()
+	}
+	_ = server.Close()
+	if err := <-ended; !errors.Is(err, http.ErrServerClosed) {
+		t.Errorf("the server ends with %v", err)
+	}
+}
+
 // TestCallerLeaves guards against work for a caller that has sent requests ahead
 // and then closes its connection.
 func TestCallerLeaves(t *testing.T) {
--- a/snipeconn/endless_test.go
+++ b/snipeconn/endless_test.go
@@ -10,6 +10,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"golang.org/x/sync/semaphore"
 )
 
 // part is the size of the pieces in which endless answers are sent.
@@ -151,3 +153,36 @@
 		})
 	}
 }
+
+// TestMemoryReturned guards against answers that keep their part of the shared
+// memory after they have ended, in whichever way.
+func TestMemoryReturned(t *testing.T) {
+	const memory = 1 << 20
+	own := "HTTP/1.1 200 OK\r\n" + idHeader + ": 1\r\n"
+	cases := map[string]string{
+		"whole":                    own + "Content-Length: 2\r\n\r\nok",
+		"without a length":         own + "\r\nok",
+		"cut":                      own + "Content-Length: 9\r\n\r\nok",
+		"cut chunks":               own + "Transfer-Encoding: chunked\r\n\r\n9\r\nok",
+		"passed on, cut":           own + "Content-Length: 500000\r\n\r\nok",
+		"more than the memory has": own + "Transfer-Encoding: chunked\r\n\r\n80000\r\n" + strings.Repeat("a", 0x80000) + "\r\n0\r\n\r\n",
+	}
+	for name, text := range cases {
+		t.Run(name, func(t *testing.T) {
+			address := target(t, func(c net.Conn, r *bufio.Reader) {
+				if _, err := readRequest(r); err == nil {
+					_, _ = io.WriteString(c, text)
+				}
+			})
+			pool := semaphore.NewWeighted(memory)
+			p := New(Settings{Memory: pool})
+			for range 2 {
+				// An answer that breaks off fails, which is not checked here.
+				_, _ = sendAndRead(p, request(address, "1", time.Minute))
+			}
+			if !pool.TryAcquire(memory) {
+				t.Error("memory of ended answers is still held")
+			}
+		})
+	}
+}
--- a/snipeconn/exchange.go
+++ b/snipeconn/exchange.go
@@ -36,6 +36,7 @@
 	resp, err := e.run()
 	if err != nil {
 		e.end()
+		e.release()
 		c.discard()
 		if reused && e.ctx.Err() == nil {
 			// Connections that were kept with this one can be silent or broken too.
--- a/snipegate/bounds_test.go
+++ b/snipegate/bounds_test.go
@@ -200,3 +200,36 @@
 		t.Error("the answer still waits for its caller")
 	}
 }
+
+// TestRefusedAfterPause guards against a refusal that does not reach its caller
+// because the time to take the answer before it has passed.
+func TestRefusedAfterPause(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, snipetable.Idempotent, ok("x"))
+	server := httptest.NewServer(r.gate)
+	defer server.Close()
+	c, err := net.Dial("tcp4", server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	answers := bufio.NewReader(c)
+	const routeTimeout = 500 * time.Millisecond
+	ask := func(host string, status int) {
+		t.Helper()
+		if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: "+host+"\r\nId: 1\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.ReadResponse(answers, nil)
+		if err != nil || resp.StatusCode != status {
+			t.Fatalf("host %s: %+v, %v; want status %d", host, resp, err, status)
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			t.Fatal(err)
+		}
+	}
+	ask("h", http.StatusOK)
+	pause := time.NewTimer(routeTimeout + answerGrace + 100*time.Millisecond)
+	<-pause.C
+	ask("other", http.StatusNotFound)
+}
