snipequota: log and count the rate limits that targets state

Hypotheses 1 (fronts do not know the limit) and 2 (each front keeps it alone) could not be told apart, because no line says what a front knows. Now a front reads the header, logs each change of a limit (target limit), one line for a statement that cannot be read, names the limit and its age in the request line, and counts limited targets. No decision uses it yet.

--- a/snipefront/front.go
+++ b/snipefront/front.go
@@ -23,6 +23,7 @@
 	"github.com/snipemoor/snipemoor/snipegate"
 	"github.com/snipemoor/snipemoor/snipepeer"
 	"github.com/snipemoor/snipemoor/snipeplacement"
+	"github.com/snipemoor/snipemoor/snipequota"
 	"github.com/snipemoor/snipemoor/sniperetry"
 	"github.com/snipemoor/snipemoor/snipesync"
 	"github.com/snipemoor/snipemoor/snipetable"
@@ -66,6 +67,7 @@
 	tables  *snipetable.Holder
 	pools   *snipeconn.Pools
 	chooser *snipeplacement.Chooser
+	quotas  *snipequota.Table
 	gate    *snipegate.Gate
 	// node makes and serves calls between fronts. It is nil if the settings contain no
 	// address for them.
@@ -90,7 +92,7 @@
 		store: platform.NewStore(s.Store), decoder: platform.NewDecoder(s.Regions),
 		clock: snipetime.New(), fleet: snipefleet.New(), tables: &snipetable.Holder{},
 		pools:   snipeconn.New(snipeconn.Settings{Memory: memory}),
-		chooser: snipeplacement.New(s.Name, s.Place),
+		chooser: snipeplacement.New(s.Name, s.Place), quotas: snipequota.New(),
 	}
 	self := snipefleet.Member{Name: s.Name, Address: s.CallerListen, Peer: s.PeerListen, Place: s.Place}
 	f.settings.Store(s)
@@ -101,13 +103,16 @@
 	f.book = &addressBook{self: self, fleet: f.fleet, ttl: func() time.Duration { return f.settings.Load().Bounds.AddressTTL }}
 	f.gate = snipegate.New(snipegate.Dependencies{
 		HeaderCodec: platform.Headers{}, Tables: f.tables, Fleet: f.fleet, Chooser: f.chooser,
-		Sender: f.pools, Clock: f.clock, Metrics: snipegate.NewMetrics(f.registry), Log: requests,
+		Limits: f.quotas, Sender: f.pools, Clock: f.clock, Metrics: snipegate.NewMetrics(f.registry), Log: requests,
 		BodyMemory: memory,
 		RetryBudget: func() sniperetry.BudgetSettings {
 			return retryBudget(f.settings.Load().Bounds, len(f.fleet.View().Members()))
 		},
 	})
 	f.registerConnectionMetrics()
+	f.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "snipemoor_limited_targets", Help: "Targets that state a rate limit.",
+	}, func() float64 { return float64(f.quotas.NumLimited()) }))
 	return f, nil
 }
 
@@ -237,7 +242,9 @@
 	v := f.fleet.View()
 	addresses, ids := v.UsableAddressesAndIDs()
 	f.pools.CloseExpired(time.Now(), func(address string) bool { return addresses[address] })
-	f.chooser.Forget(func(id string) bool { return ids[id] })
+	known := func(id string) bool { return ids[id] }
+	f.chooser.Forget(known)
+	f.quotas.Forget(known)
 }
 
 // backgroundActor returns an actor that runs work until it is interrupted.
--- a/snipegate/bench_test.go
+++ b/snipegate/bench_test.go
@@ -15,6 +15,7 @@
 	"github.com/snipemoor/snipemoor/snipeconn"
 	"github.com/snipemoor/snipemoor/snipefleet"
 	"github.com/snipemoor/snipemoor/snipeplacement"
+	"github.com/snipemoor/snipemoor/snipequota"
 	"github.com/snipemoor/snipemoor/sniperetry"
 	"github.com/snipemoor/snipemoor/snipetable"
 	"github.com/snipemoor/snipemoor/snipetime"
@@ -43,7 +44,7 @@
 	var tables snipetable.Holder
 	tables.UpdateIfNewer(table)
 	gate := httptest.NewServer(New(Dependencies{
-		HeaderCodec: testDialect{}, Tables: &tables, Fleet: fleet, Chooser: snipeplacement.New("f", snipefleet.Place{}),
+		HeaderCodec: testDialect{}, Tables: &tables, Fleet: fleet, Chooser: snipeplacement.New("f", snipefleet.Place{}), Limits: snipequota.New(),
 		Sender: snipeconn.New(snipeconn.Settings{}), Clock: clock, Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(), BodyMemory: semaphore.NewWeighted(1 << 20),
 		RetryBudget: func() sniperetry.BudgetSettings { return sniperetry.BudgetSettings{} },
 	}))
--- a/snipegate/gate.go
+++ b/snipegate/gate.go
@@ -16,11 +16,24 @@
 	"github.com/snipemoor/snipemoor/snipeconn"
 	"github.com/snipemoor/snipemoor/snipefleet"
 	"github.com/snipemoor/snipemoor/snipeplacement"
+	"github.com/snipemoor/snipemoor/snipequota"
 	"github.com/snipemoor/snipemoor/sniperetry"
 	"github.com/snipemoor/snipemoor/snipetable"
 	"github.com/snipemoor/snipemoor/snipetime"
 )
 
+// Limits holds the rate limits that targets state, as snipequota.Table does.
+type Limits interface {
+	// Record records a statement. It returns the one before and whether the limit
+	// changed.
+	Record(t *snipefleet.Target, s snipequota.Statement) (before snipequota.Statement, changed bool)
+	// RecordUnreadable records a statement that cannot be read, and reports whether the
+	// one before could be.
+	RecordUnreadable(t *snipefleet.Target) (first bool)
+	// Current returns the newest statement of a target.
+	Current(t *snipefleet.Target) snipequota.Statement
+}
+
 // Sender sends single requests to targets.
 type Sender interface {
 	// Send sends r once. Its errors are *snipeconn.Error; any other error is treated
@@ -61,6 +74,7 @@
 	Tables      *snipetable.Holder
 	Fleet       Fleet
 	Chooser     Chooser
+	Limits      Limits
 	Sender      Sender
 	Clock       Clock
 	Metrics     *Metrics
@@ -148,6 +162,9 @@
 		last := q.tried[n-1]
 		fields = append(fields, zap.String("target", last.ID), zap.Float64("load", q.chosen.Load), zap.Duration("loadAge", q.chosen.LoadAge),
 			zap.Bool("begun", q.begun), zap.Bool("reusedConnection", q.reused))
+		if s := g.Limits.Current(last); s.Limited {
+			fields = append(fields, zap.Float64("limit", s.PerSecond), zap.Duration("limitAge", g.Clock.Now().Sub(s.At)))
+		}
 	}
 	if q.status == http.StatusServiceUnavailable {
 		fields = append(fields, zap.Duration("retryAfter", q.retryAfter))
--- a/snipegate/gate_test.go
+++ b/snipegate/gate_test.go
@@ -18,6 +18,7 @@
 	"github.com/snipemoor/snipemoor/snipeconn"
 	"github.com/snipemoor/snipemoor/snipefleet"
 	"github.com/snipemoor/snipemoor/snipeplacement"
+	"github.com/snipemoor/snipemoor/snipequota"
 	"github.com/snipemoor/snipemoor/sniperetry"
 	"github.com/snipemoor/snipemoor/snipetable"
 	"github.com/snipemoor/snipemoor/snipetime"
@@ -108,7 +109,7 @@
 	var tables snipetable.Holder
 	tables.UpdateIfNewer(table)
 	r.gate = New(Dependencies{
-		HeaderCodec: testDialect{}, Tables: &tables, Fleet: r.fleet, Chooser: snipeplacement.New("f", snipefleet.Place{}),
+		HeaderCodec: testDialect{}, Tables: &tables, Fleet: r.fleet, Chooser: snipeplacement.New("f", snipefleet.Place{}), Limits: snipequota.New(),
 		Sender: r.sender, Clock: clock, Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(), BodyMemory: semaphore.NewWeighted(1 << 20),
 		RetryBudget: func() sniperetry.BudgetSettings {
 			return sniperetry.BudgetSettings{Ratio: 1, MinimumPerSecond: 1, Cap: 10}
--- a/snipegate/headers.go
+++ b/snipegate/headers.go
@@ -31,8 +31,16 @@
 	Signed bool
 	// Load is the load that the target reports, or nil.
 	Load *snipeplacement.Load
+	// Limit is the rate limit that the target states, in requests per second over all
+	// fronts, or nil if it states none. LimitErr is set if the statement cannot be read.
+	Limit    *float64
+	LimitErr error
 }
 
+// ownStatement reports whether the headers show that the response is the target's
+// own, so that a limit that they do not state has ended.
+func (h ResponseHeaders) ownStatement() bool { return !h.WrongTarget && (h.Signed || h.NotRun) }
+
 // HeaderCodec translates between the headers of the users' platform and the
 // fields that the gate evaluates. Its methods are called concurrently.
 type HeaderCodec interface {
