snipeplacement: a failing test of a limit that 12 fronts exceed together

The simulation of fronts and targets lets targets state a limit. 11 of 14 targets get more than the bound from 3 s after their first statement, such as 129 requests in 4 s for 53 allowed.

--- a/snipeplacement/chooser_test.go
+++ b/snipeplacement/chooser_test.go
@@ -302,13 +302,13 @@
 	const callers = 8 * slots
 	s.schedule(second, func() {
 		for range slots {
-			s.request(s.fronts[0], "x") // fills the cache of the target
+			s.request(0, "x") // fills the cache of the target
 		}
 	})
 	s.countFrom = 3 * second
 	s.schedule(3*second, func() {
 		for range callers {
-			s.request(s.fronts[0], "x")
+			s.request(0, "x")
 		}
 	})
 	s.run(8 * second)
--- a/snipeplacement/sim_test.go
+++ b/snipeplacement/sim_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/snipemoor/snipemoor/snipefleet"
+	"github.com/snipemoor/snipemoor/snipequota"
 	"github.com/snipemoor/snipemoor/snipetable"
 	"github.com/snipemoor/snipemoor/snipetime"
 )
@@ -59,7 +60,7 @@
 // simRequest is a request of the simulation.
 type simRequest struct {
 	arrived snipetime.Instant
-	chooser *Chooser
+	front   int
 	target  *snipefleet.Target
 	object  string
 	// retried is set if the caller was refused before and has retried.
@@ -94,8 +95,12 @@
 	rng      *rand.Rand
 	registry *snipefleet.Registry
 	fronts   []*Chooser
-	targets  map[string]*simTarget
-	route    *snipetable.Route
+	// quotas are the tables of the stated limits, by front, and limits are what targets
+	// state.
+	quotas  []*snipequota.Table
+	limits  map[string]*statedLimit
+	targets map[string]*simTarget
+	route   *snipetable.Route
 	// countFrom is the arrival time from which requests are counted.
 	countFrom                      snipetime.Instant
 	offered, inTime, late, refused int
@@ -103,8 +108,10 @@
 	shed int
 	// retryOnce makes each refused caller retry once, after the delay in the refusal.
 	retryOnce bool
-	// startTimes are the times at which requests were sent, by target.
-	startTimes map[string][]snipetime.Instant
+	// startTimes and startFronts are the times at which requests were sent and the fronts
+	// that sent them, by target.
+	startTimes  map[string][]snipetime.Instant
+	startFronts map[string][]int
 }
 
 // newSim returns a simulation with the given numbers of targets and fronts.
@@ -115,6 +122,7 @@
 	s := &sim{
 		t: t, rng: rand.New(rand.NewPCG(seed, seed)), registry: snipefleet.New(), targets: map[string]*simTarget{},
 		route: &snipetable.Route{Kind: snipetable.Idempotent, Sticky: true}, startTimes: map[string][]snipetime.Instant{},
+		startFronts: map[string][]int{}, limits: map[string]*statedLimit{},
 	}
 	for i := range targets {
 		id := fmt.Sprintf("t%d", i)
@@ -127,6 +135,7 @@
 		name := fmt.Sprintf("f%d", i)
 		s.registry.UpdateMember(snipefleet.Member{Name: name, Place: place(i)})
 		s.fronts = append(s.fronts, New(name, place(i)))
+		s.quotas = append(s.quotas, snipequota.New())
 	}
 	return s
 }
@@ -157,7 +166,7 @@
 	var next func()
 	next = func() {
 		i := s.rng.IntN(len(s.fronts))
-		s.request(s.fronts[i], fmt.Sprintf("%s/%d", place(i).Region, s.rng.IntN(objects)))
+		s.request(i, fmt.Sprintf("%s/%d", place(i).Region, s.rng.IntN(objects)))
 		if at := s.now.Add(gap()); at < until {
 			s.schedule(at, next)
 		}
@@ -168,9 +177,9 @@
 // counted reports whether a request arrived after the start of counting.
 func (s *sim) counted(r *simRequest) bool { return r.arrived >= s.countFrom }
 
-// request simulates the arrival of a request at a front.
-func (s *sim) request(c *Chooser, object string) {
-	r := &simRequest{arrived: s.now, chooser: c, object: object}
+// request simulates the arrival of a request at the front with the given index.
+func (s *sim) request(front int, object string) {
+	r := &simRequest{arrived: s.now, front: front, object: object}
 	if s.counted(r) {
 		s.offered++
 	}
@@ -180,7 +189,7 @@
 // send lets the front of a request choose a target, where the request starts, waits,
 // or is shed.
 func (s *sim) send(r *simRequest) {
-	c := r.chooser
+	c := s.fronts[r.front]
 	candidate, refusal := c.Choose(s.now, s.registry.View(), s.query(r.object))
 	target := candidate.Target
 	switch {
@@ -197,6 +206,7 @@
 	r.target = target
 	st := s.targets[target.ID]
 	s.startTimes[target.ID] = append(s.startTimes[target.ID], s.now)
+	s.startFronts[target.ID] = append(s.startFronts[target.ID], r.front)
 	switch {
 	case st.running < slots:
 		s.begin(st, r)
@@ -204,6 +214,7 @@
 		st.waiting++
 		st.pending = append(st.pending, r)
 	default:
+		s.recordStatement(r.front, target)
 		c.RecordResult(s.now, target, Result{Load: &Load{st.running, st.waiting, slots}})
 		if s.counted(r) {
 			s.shed++
@@ -237,7 +248,8 @@
 		s.begin(st, next)
 	}
 	latency := s.now.Sub(r.arrived)
-	r.chooser.RecordResult(s.now, r.target, Result{Latency: latency, Completed: true, Load: &Load{st.running, st.waiting, slots}})
+	s.recordStatement(r.front, r.target)
+	s.fronts[r.front].RecordResult(s.now, r.target, Result{Latency: latency, Completed: true, Load: &Load{st.running, st.waiting, slots}})
 	switch {
 	case !s.counted(r):
 	case latency <= latencyObjective:
