snipefeed: the groups of fronts as a type of their own

Cause: what divides the fronts into groups and names their watchers was part of the selector of sources; the shares of limits need it too. Moved to Groups, which sorts each group once and names the group nearest to a place. The tests of snipefeed pass as before; no other change of behaviour.

--- a/snipefeed/selector.go
+++ b/snipefeed/selector.go
@@ -11,12 +11,6 @@
 )
 
 const (
-	// frontsPerWatcher is the maximum number of fronts of a group per watcher. It
-	// bounds the sessions of a watcher.
-	frontsPerWatcher = 32
-	// minDomainGroup is the minimum number of fronts with which a failure domain
-	// forms a group of its own, so that its fronts exchange their data inside it.
-	minDomainGroup = 6
 	// failedPeerBackoff is how long a front is not asked after it failed to answer.
 	// The entry of a front that is gone lapses in about that time.
 	failedPeerBackoff = 3 * time.Second
@@ -61,11 +55,11 @@
 // is the store, the caller first waits for the duration that StoreRetryIn
 // returns.
 func (p *SourceSelector) Select(now snipetime.Instant, members []snipefleet.Member) Selection {
-	groups := p.groups(members)
-	ownGroup := groups[groupAt(groups, p.self.Place)]
-	ownWatchers := watchers(ownGroup)
+	groups := NewGroups(p.self, members)
+	own := groups.At(p.self.Place)
+	ownWatchers := groups.Watchers(own)
 	c := Selection{IsWatcher: containsName(ownWatchers, p.self.Name)}
-	c.ServesPeers = c.IsWatcher && len(ownGroup) > 1
+	c.ServesPeers = c.IsWatcher && len(groups.Fronts(own)) > 1
 	if !c.IsWatcher {
 		if peer := p.pickWatcher(now, ownWatchers); peer != "" {
 			c.Peer = peer
@@ -75,7 +69,7 @@
 	if !now.Before(max(p.storeRetryAt, p.fallbackUntil)) {
 		return c
 	}
-	c.Peer = cmp.Or(p.pickWatcher(now, ownWatchers), p.pickWatcher(now, allWatchers(groups)), p.pickSeed(now))
+	c.Peer = cmp.Or(p.pickWatcher(now, ownWatchers), p.pickWatcher(now, groups.WatchersOfOthers(own)), p.pickSeed(now))
 	c.Fallback = c.Peer != ""
 	return c
 }
@@ -115,63 +109,6 @@
 	p.backoffUntil[peer] = now.Add(d)
 }
 
-// group identifies fronts that share watchers: those of a large failure domain,
-// or those of the small failure domains of a region, for which domain is empty.
-type group struct {
-	region, domain string
-}
-
-// groups divides the fronts that have a peer address, and this one, into groups.
-func (p *SourceSelector) groups(members []snipefleet.Member) map[group][]snipefleet.Member {
-	all := []snipefleet.Member{p.self}
-	domainSizes := map[string]int{p.self.Place.Domain: 1}
-	for i := range members {
-		if members[i].Peer != "" && members[i].Name != p.self.Name {
-			all = append(all, members[i])
-			domainSizes[members[i].Place.Domain]++
-		}
-	}
-	out := make(map[group][]snipefleet.Member)
-	for i := range all {
-		g := group{region: all[i].Place.Region}
-		if domainSizes[all[i].Place.Domain] >= minDomainGroup {
-			g.domain = all[i].Place.Domain
-		}
-		out[g] = append(out[g], all[i])
-	}
-	return out
-}
-
-// groupAt returns the group to which the fronts of a place belong.
-func groupAt(groups map[group][]snipefleet.Member, place snipefleet.Place) group {
-	if g := (group{place.Region, place.Domain}); groups[g] != nil {
-		return g
-	}
-	return group{region: place.Region}
-}
-
-// watchers returns the fronts of a group that watch the store. It reorders
-// fronts.
-func watchers(fronts []snipefleet.Member) []snipefleet.Member {
-	if len(fronts) == 0 {
-		return nil
-	}
-	key := fronts[0].Place.Region
-	slices.SortFunc(fronts, func(a, b snipefleet.Member) int {
-		return cmp.Compare(snipefleet.RendezvousWeight(b.Name, key), snipefleet.RendezvousWeight(a.Name, key))
-	})
-	return fronts[:(len(fronts)+frontsPerWatcher-1)/frontsPerWatcher]
-}
-
-// allWatchers returns the watchers of all groups.
-func allWatchers(groups map[group][]snipefleet.Member) []snipefleet.Member {
-	var out []snipefleet.Member
-	for _, fronts := range groups {
-		out = append(out, watchers(fronts)...)
-	}
-	return out
-}
-
 // pickWatcher returns the address of one of the watchers that may be asked, or an
 // empty string. Rendezvous hashing spreads the fronts over the watchers.
 func (p *SourceSelector) pickWatcher(now snipetime.Instant, watchers []snipefleet.Member) string {
