snipequota: keep the limits that targets state, over all fronts

What callers saw: nothing; targets saw more than they can take.

Cause: a bound that a target states over all fronts was not kept by anybody. Ruled out: load reports that attract requests (rates do not rise at 6 s), refusals that return (none).

Change: the fronts of the group nearest to a target send to it while it states a limit, at most as many as have 1 request/s each. Each has an equal share without asking; a watcher of the group leases other shares by demand with the answers to the requests for changes, so no call is on the path of a request and none is made for it. Fronts of other groups learn limits and their ends by notices. Objects are assigned by the slots that a limit can keep busy (Little's law), two limited targets an object, and a request that a limit does not admit goes to another target only if that one has less than half a request a slot; else it is refused at once, with the time of the next admission.

--- a/snipefeed/peer.go
+++ b/snipefeed/peer.go
@@ -43,10 +43,12 @@
 }
 
 // Serve registers a handler that answers the requests of other fronts from a log
-// and exchanges loads with them. It must be called before the node is started.
-func Serve(node *snipepeer.Node, l *Log, loads LoadExchange, clock Clock) {
-	snipepeer.HandleCall(node, func(ctx context.Context, _ snipepeer.Peer, req *snipewire.ItemsRequest) (*snipewire.ItemsReply, error) {
+// and exchanges loads and limits with them. It must be called before the node is
+// started.
+func Serve(node *snipepeer.Node, l *Log, loads LoadExchange, limits LimitExchange, clock Clock) {
+	snipepeer.HandleCall(node, func(ctx context.Context, from snipepeer.Peer, req *snipewire.ItemsRequest) (*snipewire.ItemsReply, error) {
 		loads.MergeLoads(clock.Now(), decodeLoads(req.GetLoads()))
+		limits.MergeLimitReports(clock.Now(), from.Address, decodeLimits(req.GetLimits()))
 		b, err := readLog(ctx, l, clock, req)
 		if errors.Is(err, ErrHistoryLost) {
 			return &snipewire.ItemsReply{HistoryLost: true}, nil
@@ -57,6 +59,7 @@
 		reply := encodeBatch(b)
 		age := time.Duration(req.GetLoadsAgeMillis()) * time.Millisecond
 		reply.Loads = encodeLoads(loads.RecentLoads(clock.Now(), age))
+		reply.Limits = encodeLimits(limits.AnswerLimitReports(clock.Now(), from.Address, age))
 		return reply, nil
 	})
 }
@@ -113,17 +116,18 @@
 // PeerSources returns the logs of other fronts as sources. It and its sources
 // are not safe for concurrent use.
 type PeerSources struct {
-	node  *snipepeer.Node
-	loads LoadExchange
-	clock Clock
+	node   *snipepeer.Node
+	loads  LoadExchange
+	limits LimitExchange
+	clock  Clock
 	// lastWatch is when the last successful Watch began. The next one sends the
-	// loads that were reported since.
+	// loads and limits that were reported since.
 	lastWatch snipetime.Instant
 }
 
 // NewPeerSources returns sources that call other fronts over the sessions of node.
-func NewPeerSources(node *snipepeer.Node, loads LoadExchange, clock Clock) *PeerSources {
-	return &PeerSources{node: node, loads: loads, clock: clock}
+func NewPeerSources(node *snipepeer.Node, loads LoadExchange, limits LimitExchange, clock Clock) *PeerSources {
+	return &PeerSources{node: node, loads: loads, limits: limits, clock: clock}
 }
 
 // Source returns the log of the front with the given peer address as a source.
@@ -151,6 +155,7 @@
 	b, err := p.call(ctx, &snipewire.ItemsRequest{
 		After: uint64(after), WaitMillis: uint32(wait.Milliseconds()),
 		Loads: encodeLoads(p.peers.loads.RecentLoads(now, age)), LoadsAgeMillis: uint32((age + wait).Milliseconds()),
+		Limits: encodeLimits(p.peers.limits.LimitReports(now, age)),
 	})
 	if err == nil {
 		p.peers.lastWatch = now
@@ -158,8 +163,9 @@
 	return b, err
 }
 
-// call sends a request to the other front and merges the loads of its reply.
+// call sends a request to the other front and merges the loads and limits of its reply.
 func (p *peerSource) call(ctx context.Context, req *snipewire.ItemsRequest) (Batch, error) {
+	sent := p.peers.clock.Now()
 	reply, err := snipepeer.Call[*snipewire.ItemsReply](ctx, p.peers.node, p.address, req)
 	if err != nil {
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
@@ -172,6 +178,8 @@
 	if reply.GetHistoryLost() {
 		return Batch{}, fmt.Errorf("get changes from front %s after revision %d: %w", p.address, req.GetAfter(), ErrHistoryLost)
 	}
-	p.peers.loads.MergeLoads(p.peers.clock.Now(), decodeLoads(reply.GetLoads()))
+	now := p.peers.clock.Now()
+	p.peers.loads.MergeLoads(now, decodeLoads(reply.GetLoads()))
+	p.peers.limits.ApplyLimitReports(sent, now, p.address, decodeLimits(reply.GetLimits()))
 	return decodeBatch(reply), nil
 }
--- a/snipefeed/peer_test.go
+++ b/snipefeed/peer_test.go
@@ -49,6 +49,69 @@
 	f.loads = append(f.loads, loads...)
 }
 
+// fakeLimits answers with the reports in answer and records those that it receives.
+type fakeLimits struct {
+	mu                     sync.Mutex
+	sent, answer, received []LimitReport
+	receivedFrom           string
+	arrived                chan struct{}
+}
+
+func (f *fakeLimits) LimitReports(snipetime.Instant, time.Duration) []LimitReport { return f.sent }
+
+func (f *fakeLimits) MergeLimitReports(_ snipetime.Instant, peer string, reports []LimitReport) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.received, f.receivedFrom = reports, peer
+	if f.arrived != nil {
+		close(f.arrived)
+	}
+}
+
+func (f *fakeLimits) AnswerLimitReports(snipetime.Instant, string, time.Duration) []LimitReport {
+	return f.answer
+}
+
+func (f *fakeLimits) ApplyLimitReports(_, now snipetime.Instant, peer string, reports []LimitReport) {
+	f.MergeLimitReports(now, peer, reports)
+}
+
+// TestExchangeOfLimits guards against limits and shares that do not reach the other
+// front as they were, in either direction, or as a notice.
+func TestExchangeOfLimits(t *testing.T) {
+	server, address := newNode(t, "server")
+	items := NewLog()
+	items.Replace(0, Batch{Revision: 1})
+	asked := LimitReport{
+		Target: "a", Service: "s", Born: 7, Limited: true, PerSecond: 9.2, Age: 20 * time.Millisecond,
+		Divided: true, Demand: 3.5, Share: 0.25, Leased: true,
+	}
+	answered := LimitReport{Target: "b", Service: "s", Born: 8, Age: time.Second}
+	serverLimits := &fakeLimits{answer: []LimitReport{answered}}
+	clock := snipetime.NewManual(0)
+	Serve(server, items, &fakeLoads{}, serverLimits, clock)
+	server.Start()
+	client, clientAddress := newNode(t, "client")
+	clientLimits := &fakeLimits{sent: []LimitReport{asked}}
+	noticed := &fakeLimits{arrived: make(chan struct{})}
+	ServeLimitNotices(client, noticed, clock)
+	client.Start()
+	if _, err := NewPeerSources(client, &fakeLoads{}, clientLimits, clock).Source(address).Watch(context.Background(), 1, 0); err != nil {
+		t.Fatal(err)
+	}
+	if !slices.Equal(serverLimits.received, []LimitReport{asked}) || serverLimits.receivedFrom != clientAddress {
+		t.Errorf("the serving front has %+v from %s", serverLimits.received, serverLimits.receivedFrom)
+	}
+	if !slices.Equal(clientLimits.received, []LimitReport{answered}) || clientLimits.receivedFrom != address {
+		t.Errorf("the calling front has %+v from %s", clientLimits.received, clientLimits.receivedFrom)
+	}
+	SendLimitNotice(server, []string{clientAddress}, []LimitReport{asked})
+	<-noticed.arrived
+	if !slices.Equal(noticed.received, []LimitReport{asked}) || noticed.receivedFrom != address {
+		t.Errorf("noticed %+v from %s", noticed.received, noticed.receivedFrom)
+	}
+}
+
 // TestPeerSource guards against items that are altered on the way between fronts,
 // and against a lost history that is read as the absence of changes.
 func TestPeerSource(t *testing.T) {
@@ -56,11 +119,11 @@
 	t.Cleanup(clock.Close)
 	server, address := newNode(t, "server")
 	items := NewLog()
-	Serve(server, items, &fakeLoads{}, clock)
+	Serve(server, items, &fakeLoads{}, &fakeLimits{}, clock)
 	server.Start()
 	client, _ := newNode(t, "client")
 	client.Start()
-	source := NewPeerSources(client, &fakeLoads{}, snipetime.NewManual(0)).Source(address)
+	source := NewPeerSources(client, &fakeLoads{}, &fakeLimits{}, snipetime.NewManual(0)).Source(address)
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 
@@ -97,11 +160,11 @@
 	server, address := newNode(t, "server")
 	items := NewLog()
 	items.Replace(0, Batch{Revision: 1})
-	Serve(server, items, &fakeLoads{}, snipetime.NewManual(0))
+	Serve(server, items, &fakeLoads{}, &fakeLimits{}, snipetime.NewManual(0))
 	server.Start()
 	client, _ := newNode(t, "client")
 	client.Start()
-	source := NewPeerSources(client, &fakeLoads{}, snipetime.NewManual(0)).Source(address)
+	source := NewPeerSources(client, &fakeLoads{}, &fakeLimits{}, snipetime.NewManual(0)).Source(address)
 	if _, err := source.List(context.Background()); err != nil {
 		t.Fatal(err)
 	}
@@ -126,12 +189,12 @@
 	items := NewLog()
 	items.Replace(0, Batch{Revision: 1})
 	serverLoads := &fakeLoads{loads: []Load{{Target: "a", Requests: 3, Age: 20 * time.Millisecond}}}
-	Serve(server, items, serverLoads, snipetime.NewManual(0))
+	Serve(server, items, serverLoads, &fakeLimits{}, snipetime.NewManual(0))
 	server.Start()
 	client, _ := newNode(t, "client")
 	client.Start()
 	clientLoads := &fakeLoads{loads: []Load{{Target: "b", Requests: 5}}}
-	source := NewPeerSources(client, clientLoads, snipetime.NewManual(0)).Source(address)
+	source := NewPeerSources(client, clientLoads, &fakeLimits{}, snipetime.NewManual(0)).Source(address)
 	if _, err := source.Watch(context.Background(), 1, 0); err != nil {
 		t.Fatal(err)
 	}
--- a/snipefleet/types.go
+++ b/snipefleet/types.go
@@ -1,6 +1,7 @@
 package snipefleet
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -86,6 +87,16 @@
 // change.
 func (v *View) Targets(service string) []*Target { return v.targets[service] }
 
+// Target returns the usable target of a service with the given ID, or nil.
+func (v *View) Target(service, id string) *Target {
+	list := v.targets[service]
+	i, found := slices.BinarySearchFunc(list, id, func(t *Target, id string) int { return cmp.Compare(t.ID, id) })
+	if !found {
+		return nil
+	}
+	return list[i]
+}
+
 // Members returns the registered fronts, ordered by name. The slice must not be
 // modified. Successive views share it as long as the fronts do not change.
 func (v *View) Members() []Member { return v.members }
--- a/snipefront/front.go
+++ b/snipefront/front.go
@@ -91,10 +91,11 @@
 		loadSettings: load, metricsAddress: metrics, log: log, registry: prometheus.NewRegistry(),
 		store: platform.NewStore(s.Store), decoder: platform.NewDecoder(s.Regions),
 		clock: snipetime.New(), fleet: snipefleet.New(), tables: &snipetable.Holder{},
-		pools:   snipeconn.New(snipeconn.Settings{Memory: memory}),
-		chooser: snipeplacement.New(s.Name, s.Place), quotas: snipequota.New(),
+		pools: snipeconn.New(snipeconn.Settings{Memory: memory}),
 	}
 	self := snipefleet.Member{Name: s.Name, Address: s.CallerListen, Peer: s.PeerListen, Place: s.Place}
+	f.quotas = snipequota.New(self, f.fleet, log)
+	f.chooser = snipeplacement.New(s.Name, s.Place, f.quotas)
 	f.settings.Store(s)
 	if err := f.setUpFollower(s, self); err != nil {
 		return nil, err
@@ -125,13 +126,13 @@
 		Registry: f.fleet, Tables: f.tables, Clock: f.clock, Log: f.log,
 	}
 	if s.PeerListen != "" {
-		node, err := newNode(s, d.Items, f.chooser, f.clock, f.log)
+		node, err := newNode(s, d.Items, f.chooser, f.quotas, f.clock, f.log)
 		if err != nil {
 			return err
 		}
 		f.node = node
 		f.registry.MustRegister(node.Collectors()...)
-		d.Selector, d.Peers = snipefeed.NewSourceSelector(self, s.Seeds), snipefeed.NewPeerSources(node, f.chooser, f.clock)
+		d.Selector, d.Peers = snipefeed.NewSourceSelector(self, s.Seeds), snipefeed.NewPeerSources(node, f.chooser, f.quotas, f.clock)
 	}
 	f.follower = snipesync.NewFollower(d)
 	return nil
@@ -198,7 +199,8 @@
 	}
 	f.log.Info("start", zap.String("front", settings.Name), zap.String("domain", settings.Place.Domain),
 		zap.String("callers", settings.CallerListen), zap.String("store", settings.Store), zap.String("metrics", f.metricsAddress))
-	f.clock.Every(sweepInterval, func(snipetime.Instant) { f.removeStale() })
+	f.clock.Every(sweepInterval, f.removeStale)
+	f.clock.Every(limitInterval, f.divideLimits)
 
 	var g run.Group
 	stopped := make(chan struct{})
@@ -238,13 +240,13 @@
 
 // removeStale closes idle connections that are too old or lead to unknown targets,
 // and deletes the state of unknown targets.
-func (f *Front) removeStale() {
+func (f *Front) removeStale(now snipetime.Instant) {
 	v := f.fleet.View()
 	addresses, ids := v.UsableAddressesAndIDs()
 	f.pools.CloseExpired(time.Now(), func(address string) bool { return addresses[address] })
 	known := func(id string) bool { return ids[id] }
 	f.chooser.Forget(known)
-	f.quotas.Forget(known)
+	f.quotas.Forget(now, known)
 }
 
 // backgroundActor returns an actor that runs work until it is interrupted.
--- a/snipefront/peers.go
+++ b/snipefront/peers.go
@@ -13,6 +13,7 @@
 	"github.com/snipemoor/snipemoor/snipeconn"
 	"github.com/snipemoor/snipemoor/snipefeed"
 	"github.com/snipemoor/snipemoor/snipepeer"
+	"github.com/snipemoor/snipemoor/snipetime"
 )
 
 const (
@@ -27,10 +28,27 @@
 	peerHandshakeTimeout = 500 * time.Millisecond
 )
 
+const (
+	// limitInterval is the time between two divisions of the limits of targets.
+	limitInterval = 250 * time.Millisecond
+	// limitNoticeAge is how long a limit is told to the fronts of other groups. It spans
+	// several intervals, since a notice without a session is dropped.
+	limitNoticeAge = 4 * limitInterval
+)
+
+// divideLimits renews the own shares of the limits of targets, and tells the limits to
+// the fronts of other groups.
+func (f *Front) divideLimits(now snipetime.Instant) {
+	notice := f.quotas.Tick(now, limitNoticeAge)
+	if f.node != nil && len(notice.Peers) > 0 {
+		snipefeed.SendLimitNotice(f.node, notice.Peers, notice.Reports)
+	}
+}
+
 // newNode returns the node over which fronts request items of the store from each
-// other and exchange the loads of targets. It listens at once and serves items and
-// loads once it is started. It returns an error if the address cannot be listened on.
-func newNode(s *platform.Settings, items *snipefeed.Log, loads snipefeed.LoadExchange, clock snipefeed.Clock, log *zap.Logger) (*snipepeer.Node, error) {
+// other and exchange the loads and limits of targets. It listens at once and serves
+// them once it is started. It returns an error if the address cannot be listened on.
+func newNode(s *platform.Settings, items *snipefeed.Log, loads snipefeed.LoadExchange, limits snipefeed.LimitExchange, clock snipefeed.Clock, log *zap.Logger) (*snipepeer.Node, error) {
 	l, err := net.Listen("tcp4", s.PeerListen)
 	if err != nil {
 		return nil, fmt.Errorf("listen for other fronts: %w", err)
@@ -42,7 +60,8 @@
 	}
 	dialer := &net.Dialer{Timeout: peerHandshakeTimeout, KeepAlive: -1, Control: snipeconn.TCPUserTimeoutControl(peerUnackedTimeout)}
 	node := snipepeer.New(settings, l, dialer, log)
-	snipefeed.Serve(node, items, loads, clock)
+	snipefeed.Serve(node, items, loads, limits, clock)
+	snipefeed.ServeLimitNotices(node, limits, clock)
 	return node, nil
 }
 
--- a/snipegate/bench_test.go
+++ b/snipegate/bench_test.go
@@ -43,8 +43,9 @@
 	}
 	var tables snipetable.Holder
 	tables.UpdateIfNewer(table)
+	limits := snipequota.New(snipefleet.Member{Name: "f"}, fleet, zap.NewNop())
 	gate := httptest.NewServer(New(Dependencies{
-		HeaderCodec: testDialect{}, Tables: &tables, Fleet: fleet, Chooser: snipeplacement.New("f", snipefleet.Place{}), Limits: snipequota.New(),
+		HeaderCodec: testDialect{}, Tables: &tables, Fleet: fleet, Chooser: snipeplacement.New("f", snipefleet.Place{}, limits), Limits: limits,
 		Sender: snipeconn.New(snipeconn.Settings{}), Clock: clock, Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(), BodyMemory: semaphore.NewWeighted(1 << 20),
 		RetryBudget: func() sniperetry.BudgetSettings { return sniperetry.BudgetSettings{} },
 	}))
--- a/snipegate/gate.go
+++ b/snipegate/gate.go
@@ -24,14 +24,15 @@
 
 // Limits holds the rate limits that targets state, as snipequota.Table does.
 type Limits interface {
-	// Record records a statement. It returns the one before and whether the limit
-	// changed.
+	// Record records a statement. It returns the one at the last change of the limit, and
+	// whether the limit has changed since.
 	Record(t *snipefleet.Target, s snipequota.Statement) (before snipequota.Statement, changed bool)
 	// RecordUnreadable records a statement that cannot be read, and reports whether the
 	// one before could be.
 	RecordUnreadable(t *snipefleet.Target) (first bool)
-	// Current returns the newest statement of a target.
-	Current(t *snipefleet.Target) snipequota.Statement
+	// Current returns the newest statement of a target, and the share of its limit that
+	// this front last used.
+	Current(t *snipefleet.Target) (s snipequota.Statement, share float64)
 }
 
 // Sender sends single requests to targets.
@@ -162,8 +163,8 @@
 		last := q.tried[n-1]
 		fields = append(fields, zap.String("target", last.ID), zap.Float64("load", q.chosen.Load), zap.Duration("loadAge", q.chosen.LoadAge),
 			zap.Bool("begun", q.begun), zap.Bool("reusedConnection", q.reused))
-		if s := g.Limits.Current(last); s.Limited {
-			fields = append(fields, zap.Float64("limit", s.PerSecond), zap.Duration("limitAge", g.Clock.Now().Sub(s.At)))
+		if s, share := g.Limits.Current(last); s.Limited {
+			fields = append(fields, zap.Float64("limit", s.PerSecond), zap.Duration("limitAge", g.Clock.Now().Sub(s.At)), zap.Float64("share", share))
 		}
 	}
 	if q.status == http.StatusServiceUnavailable {
--- a/snipegate/gate_test.go
+++ b/snipegate/gate_test.go
@@ -108,8 +108,9 @@
 	}
 	var tables snipetable.Holder
 	tables.UpdateIfNewer(table)
+	limits := snipequota.New(snipefleet.Member{Name: "f"}, r.fleet, zap.NewNop())
 	r.gate = New(Dependencies{
-		HeaderCodec: testDialect{}, Tables: &tables, Fleet: r.fleet, Chooser: snipeplacement.New("f", snipefleet.Place{}), Limits: snipequota.New(),
+		HeaderCodec: testDialect{}, Tables: &tables, Fleet: r.fleet, Chooser: snipeplacement.New("f", snipefleet.Place{}, limits), Limits: limits,
 		Sender: r.sender, Clock: clock, Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(), BodyMemory: semaphore.NewWeighted(1 << 20),
 		RetryBudget: func() sniperetry.BudgetSettings {
 			return sniperetry.BudgetSettings{Ratio: 1, MinimumPerSecond: 1, Cap: 10}
--- a/snipeplacement/chooser.go
+++ b/snipeplacement/chooser.go
@@ -1,6 +1,7 @@
 package snipeplacement
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"sync"
@@ -8,6 +9,7 @@
 
 	"github.com/snipemoor/snipemoor/snipefeed"
 	"github.com/snipemoor/snipemoor/snipefleet"
+	"github.com/snipemoor/snipemoor/snipequota"
 	"github.com/snipemoor/snipemoor/snipetable"
 	"github.com/snipemoor/snipemoor/snipetime"
 )
@@ -22,17 +24,13 @@
 	// slot. They get requests only if a slot is free, since an object that is used at
 	// several targets occupies the caches of all of them.
 	furtherMaxLoad = 1.0
+	// divertedMaxLoad is the limit, in requests per slot, of a target that gets a request
+	// because the rate limit of another does not admit it. Such requests take the places
+	// of other objects in the caches of the target, which only one with few requests can
+	// bear.
+	divertedMaxLoad = 0.5
 )
 
-// maxLoadPerSlot returns the concurrency limit, in requests per slot, of the target
-// with the given rank among those of an object. The first target has rank 1.
-func maxLoadPerSlot(rank int) float64 {
-	if rank <= 1 {
-		return firstMaxLoad
-	}
-	return furtherMaxLoad
-}
-
 // Reason is the reason of a refusal in logs and metrics.
 type Reason string
 
@@ -46,6 +44,9 @@
 	// ReasonCold means that the last remaining target is cold and this front may not
 	// send to it now.
 	ReasonCold Reason = "targetsCold"
+	// ReasonLimited means that this front has used up its part of the rate limit of the
+	// last remaining target.
+	ReasonLimited Reason = "targetsLimited"
 	// ReasonSuspect means that the last remaining target is excluded after failures.
 	ReasonSuspect Reason = "targetsSuspect"
 )
@@ -69,6 +70,8 @@
 	// LoadAge is the time since the target last reported its load.
 	Load    float64
 	LoadAge time.Duration
+	// Limit is the rate limit that the target states, and the share of this front.
+	Limit snipequota.Admission
 	// SkipReason is why the target was not chosen, or empty if it was.
 	SkipReason Reason
 }
@@ -108,10 +111,26 @@
 	Failed bool
 }
 
+// Limits decides whether this front may send requests to the targets that state rate
+// limits, as snipequota.Table does.
+type Limits interface {
+	// Check decides whether a request may be sent, and Take counts one that is sent.
+	Check(now snipetime.Instant, t *snipefleet.Target) snipequota.Admission
+	Take(now snipetime.Instant, t *snipefleet.Target)
+	// RetryDelay returns the time after which the caller of a request that was not
+	// admitted should retry.
+	RetryDelay(now snipetime.Instant, t *snipefleet.Target) time.Duration
+	// Share returns the limit of a target and the share of this front without a lease,
+	// and false if the target is not limited. Version changes with what it returns.
+	Share(t *snipefleet.Target) (limit snipequota.Admission, limited bool)
+	Version() uint64
+}
+
 // Chooser chooses targets for one front. It is safe for concurrent use.
 type Chooser struct {
-	name string
-	own  snipefleet.Place
+	name   string
+	own    snipefleet.Place
+	limits Limits
 
 	mu       sync.Mutex
 	rankings rankingCache
@@ -119,8 +138,26 @@
 }
 
 // New returns a chooser for the front with the given name and place.
-func New(name string, own snipefleet.Place) *Chooser {
-	return &Chooser{name: name, own: own, rankings: rankingCache{own: own}, states: make(map[string]*targetState)}
+func New(name string, own snipefleet.Place, limits Limits) *Chooser {
+	c := &Chooser{name: name, own: own, limits: limits, states: make(map[string]*targetState)}
+	c.rankings = rankingCache{own: own, limits: limits, serviceTime: c.meanServiceTime}
+	return c
+}
+
+// meanServiceTime returns the mean of the service times of targets, as far as they have
+// responded to this front.
+func (c *Chooser) meanServiceTime(targets []*snipefleet.Target) time.Duration {
+	sum, n := time.Duration(0), 0
+	for _, t := range targets {
+		if s := c.states[t.ID]; s != nil && s.born == t.Born {
+			sum += s.serviceTime
+			n++
+		}
+	}
+	if n == 0 {
+		return defaultServiceTime
+	}
+	return sum / time.Duration(n)
 }
 
 // Choose returns a target for q and counts the request as in flight there until
@@ -140,6 +177,7 @@
 		return Candidate{}, sel.buildRefusal()
 	}
 	c.state(candidate.Target).inFlight++
+	c.limits.Take(now, candidate.Target)
 	return candidate, nil
 }
 
@@ -152,7 +190,8 @@
 	now     snipetime.Instant
 	view    *snipefleet.View
 	query   *Query
-	// considered is the number of targets that were neither suspect nor cold.
+	// considered is the number of targets that were neither suspect nor cold, and whose
+	// rate limits admit the request.
 	considered int
 	refusal    Refusal
 	skipped    [maxReportedCandidates]Candidate
@@ -161,22 +200,29 @@
 	// soonestFree.
 	soonest     *targetState
 	soonestFree snipetime.Instant
+	// limited is the first target whose rate limit does not admit the request, and
+	// numLimited the number of such targets.
+	limited    *snipefleet.Target
+	numLimited int
 }
 
-// buildRefusal returns the refusal. If targets are full, it reserves a retry time of
-// its own for this caller, so that refused callers do not all retry at once.
+// buildRefusal returns the refusal. If targets are full or limited, it reserves a retry
+// time of its own for this caller, so that refused callers do not all retry at once.
 func (s *selection) buildRefusal() *Refusal {
 	out := s.refusal
 	out.Candidates = slices.Clone(s.skipped[:s.numSkipped])
-	if s.soonest != nil && out.Reason == ReasonFull {
+	switch {
+	case s.soonest != nil && out.Reason == ReasonFull:
 		out.RetryAfter = s.soonest.reserveRetry(s.now, s.soonestFree)
+	case s.limited != nil && out.Reason == ReasonLimited:
+		out.RetryAfter = s.chooser.limits.RetryDelay(s.now, s.limited)
 	}
 	return &out
 }
 
 // firstAdmitting returns the first of the targets to which the request can be sent,
 // and false if there is none among the first targetsPerObject that are neither
-// suspect nor cold.
+// suspect nor cold and whose rate limits admit the request.
 func (s *selection) firstAdmitting(targets []*snipefleet.Target) (Candidate, bool) {
 	for _, t := range targets {
 		if s.considered == targetsPerObject {
@@ -202,12 +248,16 @@
 func (s *selection) evaluate(t *snipefleet.Target) Candidate {
 	state := s.chooser.state(t)
 	candidate := Candidate{Target: t, Load: state.estimatedLoad(s.now), LoadAge: s.now.Sub(state.reportedAt)}
-	switch {
-	case state.suspect(s.now):
+	if state.suspect(s.now) {
 		candidate.SkipReason = ReasonSuspect
 		s.refusal.merge(ReasonSuspect, noTargetRetryDelay)
 		return candidate
-	case s.chooser.cold(s.now, s.view, t, s.query.Info):
+	}
+	if !s.admitsLimit(t, &candidate) {
+		candidate.SkipReason = ReasonLimited
+		return candidate
+	}
+	if s.chooser.cold(s.now, s.view, t, s.query.Info) {
 		if !s.chooser.acquireColdToken(s.now, s.view, t, state, s.query.Info) {
 			candidate.SkipReason = ReasonCold
 			s.refusal.merge(ReasonCold, coldRetryDelay)
@@ -215,13 +265,51 @@
 		return candidate
 	}
 	s.considered++
-	if room := maxLoadPerSlot(s.considered)*float64(t.Slots) - candidate.Load; room < 1 {
+	room := s.maxLoad(t) - candidate.Load
+	switch {
+	case room >= 1:
+	case s.diverted():
+		candidate.SkipReason = ReasonFull
+	default:
 		candidate.SkipReason = ReasonFull
 		s.recordFull(t, state, 1-room)
 	}
 	return candidate
 }
 
+// admitsLimit reports whether the rate limit of a target, if it states one, admits the
+// request. It is asked for targetsPerObject targets at most, so that objects do not
+// occupy the caches of many limited targets.
+func (s *selection) admitsLimit(t *snipefleet.Target, candidate *Candidate) bool {
+	if s.numLimited == targetsPerObject {
+		_, limited := s.chooser.limits.Share(t)
+		return !limited
+	}
+	candidate.Limit = s.chooser.limits.Check(s.now, t)
+	if candidate.Limit.Admitted {
+		return true
+	}
+	s.numLimited++
+	s.limited = cmp.Or(s.limited, t)
+	s.refusal.merge(ReasonLimited, 0)
+	return false
+}
+
+// diverted reports whether the rate limit of a target before did not admit the request.
+func (s *selection) diverted() bool { return s.numLimited > 0 }
+
+// maxLoad returns the concurrency limit, in requests, of the target that is considered.
+func (s *selection) maxLoad(t *snipefleet.Target) float64 {
+	perSlot := furtherMaxLoad
+	switch {
+	case s.diverted():
+		perSlot = divertedMaxLoad
+	case s.considered <= 1:
+		perSlot = firstMaxLoad
+	}
+	return max(perSlot*float64(t.Slots), 1)
+}
+
 // recordFull records a full target, which is below its limit when n of its requests
 // have ended.
 func (s *selection) recordFull(t *snipefleet.Target, st *targetState, n float64) {
--- a/snipeplacement/chooser_test.go
+++ b/snipeplacement/chooser_test.go
@@ -8,15 +8,22 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
 	"pgregory.net/rapid"
 
 	"github.com/snipemoor/snipemoor/snipefleet"
+	"github.com/snipemoor/snipemoor/snipequota"
 	"github.com/snipemoor/snipemoor/snipetable"
 	"github.com/snipemoor/snipemoor/snipetime"
 )
 
 const second = snipetime.Instant(time.Second)
 
+// noLimits returns a table of a fleet without limited targets.
+func noLimits() *snipequota.Table {
+	return snipequota.New(snipefleet.Member{}, snipefleet.New(), zap.NewNop())
+}
+
 // TestHeavyLoad guards against mostly late responses at a load near the capacity of
 // warm targets. This happens if objects are distributed over too many targets, whose
 // caches then miss.
@@ -201,7 +208,7 @@
 func TestTargetsBeyondCachedRanking(t *testing.T) {
 	const targets = 20
 	v := newRegistry(1, targets).View()
-	c := New("f0", place(0))
+	c := New("f0", place(0), noLimits())
 	q := &Query{Service: "s", Route: &snipetable.Route{Kind: snipetable.Idempotent}, Object: "o"}
 	now := snipetime.Instant(time.Second)
 	for i := range targets {
@@ -228,7 +235,7 @@
 			}
 			r.UpdateMember(snipefleet.Member{Name: fmt.Sprint(i), Place: place(i)})
 		}
-		c := New("f", place(own))
+		c := New("f", place(own), noLimits())
 		kept := 0
 		const objects = 1000
 		for i := range objects {
@@ -289,7 +296,7 @@
 	if refusal == nil || refusal.Reason != ReasonFull || refusal.RetryAfter <= 0 || refusal.RetryAfter > time.Second || len(refusal.Candidates) != 1 {
 		t.Errorf("refusal %+v", refusal)
 	}
-	if _, refusal = New("f", place(0)).Choose(0, snipefleet.New().View(), s.query("x")); refusal == nil || refusal.Reason != ReasonNoTarget {
+	if _, refusal = New("f", place(0), noLimits()).Choose(0, snipefleet.New().View(), s.query("x")); refusal == nil || refusal.Reason != ReasonNoTarget {
 		t.Errorf("refusal without targets: %+v", refusal)
 	}
 }
@@ -337,7 +344,7 @@
 	for _, size := range []struct{ fronts, targets int }{{12, 20}, {460, 280}} {
 		b.Run(fmt.Sprintf("fronts=%d/targets=%d", size.fronts, size.targets), func(b *testing.B) {
 			r := newRegistry(size.fronts, size.targets)
-			c, v := New("f0", place(0)), r.View()
+			c, v := New("f0", place(0), noLimits()), r.View()
 			route := &snipetable.Route{Kind: snipetable.Idempotent, Sticky: true}
 			objects := make([]string, 300)
 			for i := range objects {
@@ -365,7 +372,7 @@
 			views := [2]*snipefleet.View{r.View()}
 			r.RemoveTarget(0, "t1")
 			views[1] = r.View()
-			c := New("f0", place(0))
+			c := New("f0", place(0), noLimits())
 			q := &Query{Service: "s", Route: &snipetable.Route{Kind: snipetable.Idempotent, Sticky: true}, Object: "o"}
 			b.ReportAllocs()
 			for i := range b.N {
--- a/snipeplacement/limit_test.go
+++ b/snipeplacement/limit_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/snipemoor/snipemoor/snipefeed"
 	"github.com/snipemoor/snipemoor/snipefleet"
 	"github.com/snipemoor/snipemoor/snipequota"
 	"github.com/snipemoor/snipemoor/snipetime"
@@ -69,11 +72,62 @@
 	for i := range 14 {
 		s.stateLimit(fmt.Sprintf("t%d", i), 5+float64(i), 6*second, 25*second)
 	}
+	s.exchangeLimits()
 	s.generateLoad(420, 104, 28*second)
 	s.run(30 * second)
 	s.checkLimit()
 }
 
+// exchangeInterval is the time between two exchanges of limits of a front.
+const exchangeInterval = 300 * time.Millisecond
+
+// exchangeLimits lets each front exchange limits with a watcher of its group, and each
+// watcher send notices, again and again.
+func (s *sim) exchangeLimits() {
+	for i := range s.fronts {
+		s.schedule(s.now.Add(time.Duration(i)*time.Millisecond), func() { s.exchange(i) })
+	}
+}
+
+// exchange exchanges the limits of the front i once, and schedules the next time.
+func (s *sim) exchange(i int) {
+	const age = 2 * exchangeInterval
+	quotas := s.quotas[i]
+	notice := quotas.Tick(s.now, age)
+	for _, peer := range notice.Peers {
+		if j := s.frontAt(peer); s.connected(i, j) {
+			s.quotas[j].MergeLimitReports(s.now, frontName(i), notice.Reports)
+		}
+	}
+	groups := snipefeed.NewGroups(s.member(i), s.registry.View().Members())
+	watcher := groups.Watchers(groups.At(place(i)))[0].Name
+	if j := s.frontAt(watcher); j != i && s.connected(i, j) {
+		s.quotas[j].MergeLimitReports(s.now, frontName(i), quotas.LimitReports(s.now, age))
+		quotas.ApplyLimitReports(s.now, s.now, watcher, s.quotas[j].AnswerLimitReports(s.now, frontName(i), age))
+	}
+	s.schedule(s.now.Add(exchangeInterval), func() { s.exchange(i) })
+}
+
+// frontName returns the name of the front i, which is its peer address too.
+func frontName(i int) string { return fmt.Sprintf("f%d", i) }
+
+// member returns the entry of the front i.
+func (s *sim) member(i int) snipefleet.Member {
+	return snipefleet.Member{Name: frontName(i), Peer: frontName(i), Place: place(i)}
+}
+
+// frontAt returns the index of the front with a name.
+func (s *sim) frontAt(name string) int {
+	i, err := strconv.Atoi(strings.TrimPrefix(name, "f"))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return i
+}
+
+// connected reports whether two fronts can hear each other.
+func (s *sim) connected(i, j int) bool { return s.cut == nil || !s.cut(i, j) }
+
 // stateLimit makes a target state a limit in its responses of a time.
 func (s *sim) stateLimit(id string, perSecond float64, from, till snipetime.Instant) {
 	s.limits[id] = &statedLimit{perSecond: perSecond, from: from, till: till, statedTo: map[int]snipetime.Instant{}}
--- a/snipeplacement/localities.go
+++ b/snipeplacement/localities.go
@@ -26,16 +26,17 @@
 	slots map[string]float64
 }
 
-// newLocalities computes the distribution for a service from a view.
-func newLocalities(v *snipefleet.View, service string, own snipefleet.Place, largeBody bool) localities {
+// newLocalities computes the distribution of a service's targets, with the usable slots
+// of each, and of the fronts.
+func newLocalities(targets []*snipefleet.Target, slots []float64, members []snipefleet.Member, own snipefleet.Place, largeBody bool) localities {
 	l := localities{capacity: map[string]float64{}, demand: map[string]float64{}, slots: map[string]float64{}}
 	total := 0.0
-	for _, t := range v.Targets(service) {
-		l.slots[localityOf(t.Place, largeBody)] += float64(t.Slots)
-		total += float64(t.Slots)
+	for i, t := range targets {
+		l.slots[localityOf(t.Place, largeBody)] += slots[i]
+		total += slots[i]
 	}
 	domains := map[string]string{own.Domain: localityOf(own, largeBody)}
-	for _, m := range v.Members() {
+	for _, m := range members {
 		domains[m.Place.Domain] = localityOf(m.Place, largeBody)
 	}
 	for _, locality := range domains {
--- a/snipeplacement/ranking.go
+++ b/snipeplacement/ranking.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"time"
 	"unsafe"
 
 	"github.com/snipemoor/snipemoor/snipefleet"
@@ -23,18 +24,25 @@
 // for a request that finds most of these targets cold or suspect.
 const cachedTargets = 8
 
-// rankingCache caches the best targets of objects until the targets of the service or
-// the fronts change.
+// rankingCache caches the best targets of objects until the targets of the service,
+// their rate limits or the fronts change.
 type rankingCache struct {
 	own      snipefleet.Place
+	limits   Limits
 	services map[string]*serviceRankings
+	// serviceTime returns the mean service time of the targets of a service.
+	serviceTime func(targets []*snipefleet.Target) time.Duration
 }
 
 // serviceRankings holds the rankings of one service.
 type serviceRankings struct {
 	targets []*snipefleet.Target
 	members []snipefleet.Member
-	best    map[rankingKey][]*snipefleet.Target
+	// slots are the usable slots of the targets, and shares the shares of this front in
+	// them. They hold for limitsVersion.
+	slots, shares []float64
+	limitsVersion uint64
+	best          map[rankingKey][]*snipefleet.Target
 	// smallBodyWeights and largeBodyWeights are the weights of the targets for
 	// requests of that kind. They are nil until they are needed.
 	smallBodyWeights, largeBodyWeights []float64
@@ -58,14 +66,16 @@
 }
 
 // service returns the rankings of a service. They are created anew if the view has
-// other targets or fronts than before, or if maxCachedRankings is reached.
+// other targets or fronts than before, if rate limits of targets have changed, or if
+// maxCachedRankings is reached.
 func (r *rankingCache) service(v *snipefleet.View, name string) *serviceRankings {
-	targets, members := v.Targets(name), v.Members()
+	targets, members, version := v.Targets(name), v.Members(), r.limits.Version()
 	s := r.services[name]
-	if s != nil && sameSlice(s.targets, targets) && sameSlice(s.members, members) && len(s.best) < maxCachedRankings {
+	if s != nil && sameSlice(s.targets, targets) && sameSlice(s.members, members) && s.limitsVersion == version && len(s.best) < maxCachedRankings {
 		return s
 	}
-	s = &serviceRankings{targets: targets, members: members, best: make(map[rankingKey][]*snipefleet.Target)}
+	s = &serviceRankings{targets: targets, members: members, limitsVersion: version, best: make(map[rankingKey][]*snipefleet.Target)}
+	s.slots, s.shares = r.usableSlots(targets)
 	if r.services == nil {
 		r.services = make(map[string]*serviceRankings)
 	}
@@ -73,13 +83,39 @@
 	return s
 }
 
+// excessDemand is the factor by which the requests that are assigned to a limited target
+// exceed its limit, so that the limit is used in spite of variations of the demand.
+const excessDemand = 1.3
+
+// usableSlots returns the number of slots of each target that all fronts together can
+// keep busy, and the share of this front in them if not all fronts send to the target,
+// or else -1. By Little's law, a rate limit keeps as many slots busy as the product of
+// the limit and the service time.
+func (r *rankingCache) usableSlots(targets []*snipefleet.Target) (slots, shares []float64) {
+	slots, shares = make([]float64, len(targets)), make([]float64, len(targets))
+	var serviceTime time.Duration
+	for i, t := range targets {
+		slots[i], shares[i] = float64(max(t.Slots, 1)), -1
+		limit, limited := r.limits.Share(t)
+		if !limited {
+			continue
+		}
+		if serviceTime == 0 {
+			serviceTime = r.serviceTime(targets)
+		}
+		slots[i] = min(slots[i], excessDemand*limit.PerSecond*serviceTime.Seconds())
+		shares[i] = limit.Share
+	}
+	return slots, shares
+}
+
 // weights returns the weights of the targets for a kind of request.
 func (s *serviceRankings) weights(own snipefleet.Place, v *snipefleet.View, key rankingKey) []float64 {
 	switch {
 	case key.largeBody && s.largeBodyWeights == nil:
-		s.largeBodyWeights = weighByDomain(own, s.targets, newLocalities(v, key.service, own, true))
+		s.largeBodyWeights = s.weighByDomain(own, newLocalities(s.targets, s.slots, v.Members(), own, true))
 	case !key.largeBody && s.smallBodyWeights == nil:
-		s.smallBodyWeights = weighByRegion(own, s.targets, newLocalities(v, key.service, own, false))
+		s.smallBodyWeights = s.weighByRegion(own, newLocalities(s.targets, s.slots, v.Members(), own, false))
 	}
 	if key.largeBody {
 		return s.largeBodyWeights
@@ -136,18 +172,36 @@
 
 // weighByRegion returns the weights of the targets for small bodies, which prefer the
 // own region as far as its capacity suffices.
-func weighByRegion(own snipefleet.Place, targets []*snipefleet.Target, l localities) []float64 {
-	weights := make([]float64, len(targets))
+func (s *serviceRankings) weighByRegion(own snipefleet.Place, l localities) []float64 {
+	weights := make([]float64, len(s.targets))
 	ownWeight := l.ownWeight(own.Region)
-	for i, t := range targets {
-		weights[i] = float64(max(t.Slots, 1)) * otherRegionWeight
+	for i, t := range s.targets {
+		weights[i] = s.slots[i] * otherRegionWeight
 		if t.Place.Region == own.Region {
-			weights[i] = float64(max(t.Slots, 1)) * ownWeight
+			weights[i] = s.slots[i] * ownWeight
+		}
+		if s.shares[i] >= 0 {
+			weights[i] *= s.shares[i] * s.sumOfRegionWeights(t.Place.Region)
 		}
 	}
 	return weights
 }
 
+// sumOfRegionWeights returns the sum over all fronts of the weight of a slot in a
+// region. A front with a share in a limited target takes its part of what all fronts
+// would send.
+func (s *serviceRankings) sumOfRegionWeights(region string) float64 {
+	sum := 0.0
+	for i := range s.members {
+		if s.members[i].Place.Region == region {
+			sum++
+		} else {
+			sum += otherRegionWeight
+		}
+	}
+	return max(sum, 1)
+}
+
 const (
 	// otherRegionLargeBodyWeight is the factor for slots in another region with large
 	// bodies. The factor for another failure domain of the own region is 1.
@@ -160,11 +214,14 @@
 // weighByDomain returns the weights of the targets for large bodies. The own failure
 // domain gets the share of the objects that its capacity can serve. The rest goes to
 // failure domains with spare capacity, preferably in the own region.
-func weighByDomain(own snipefleet.Place, targets []*snipefleet.Target, l localities) []float64 {
-	weights := make([]float64, len(targets))
+func (s *serviceRankings) weighByDomain(own snipefleet.Place, l localities) []float64 {
+	weights := make([]float64, len(s.targets))
 	ownSum, otherSum := 0.0, 0.0
-	for i, t := range targets {
-		slots := float64(max(t.Slots, 1))
+	for i, t := range s.targets {
+		slots := s.slots[i]
+		if s.shares[i] == 0 {
+			continue
+		}
 		switch {
 		case t.Place.Domain == own.Domain:
 			weights[i] = slots
@@ -182,7 +239,7 @@
 		return weights
 	}
 	scale := ownShare / (1 - ownShare) * otherSum / ownSum
-	for i, t := range targets {
+	for i, t := range s.targets {
 		if t.Place.Domain == own.Domain {
 			weights[i] *= scale
 		}
--- a/snipeplacement/sim_test.go
+++ b/snipeplacement/sim_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/snipemoor/snipemoor/snipefleet"
 	"github.com/snipemoor/snipemoor/snipequota"
 	"github.com/snipemoor/snipemoor/snipetable"
@@ -35,6 +37,7 @@
 type simTarget struct {
 	running, waiting int
 	pending          []*simRequest
+	hits, misses     int
 	lru              *list.List
 	cache            map[string]*list.Element
 }
@@ -47,8 +50,10 @@
 func (s *simTarget) accessCache(object string) bool {
 	if e := s.cache[object]; e != nil {
 		s.lru.MoveToFront(e)
+		s.hits++
 		return true
 	}
+	s.misses++
 	s.cache[object] = s.lru.PushFront(object)
 	if s.lru.Len() > cacheSize {
 		last := s.lru.Remove(s.lru.Back()).(string)
@@ -97,8 +102,10 @@
 	fronts   []*Chooser
 	// quotas are the tables of the stated limits, by front, and limits are what targets
 	// state.
-	quotas  []*snipequota.Table
-	limits  map[string]*statedLimit
+	quotas []*snipequota.Table
+	limits map[string]*statedLimit
+	// cut reports whether two fronts cannot hear each other; nil means that all can.
+	cut     func(i, j int) bool
 	targets map[string]*simTarget
 	route   *snipetable.Route
 	// countFrom is the arrival time from which requests are counted.
@@ -132,10 +139,11 @@
 		})
 	}
 	for i := range fronts {
-		name := fmt.Sprintf("f%d", i)
-		s.registry.UpdateMember(snipefleet.Member{Name: name, Place: place(i)})
-		s.fronts = append(s.fronts, New(name, place(i)))
-		s.quotas = append(s.quotas, snipequota.New())
+		self := s.member(i)
+		s.registry.UpdateMember(self)
+		quotas := snipequota.New(self, s.registry, zap.NewNop())
+		s.fronts = append(s.fronts, New(self.Name, self.Place, quotas))
+		s.quotas = append(s.quotas, quotas)
 	}
 	return s
 }
--- a/snipequota/table.go
+++ b/snipequota/table.go
@@ -1,7 +1,12 @@
 package snipequota
 
 import (
+	"math"
 	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"github.com/snipemoor/snipemoor/snipefleet"
 	"github.com/snipemoor/snipemoor/snipetime"
@@ -17,34 +22,81 @@
 	At snipetime.Instant
 }
 
-// sameLimit reports whether two statements are of the same limit.
-func (s Statement) sameLimit(o Statement) bool {
-	return s.Limited == o.Limited && s.PerSecond == o.PerSecond
+// minChange is the relative difference from which a limit counts as changed. Smaller
+// changes are enforced, but do not assign objects to other targets.
+const minChange = 0.1
+
+// differs reports whether a limit counts as changed against another one.
+func (s Statement) differs(o Statement) bool {
+	return s.Limited != o.Limited || math.Abs(s.PerSecond-o.PerSecond) > minChange*o.PerSecond
+}
+
+// Fleet provides the current view of targets and fronts.
+type Fleet interface {
+	View() *snipefleet.View
 }
 
-// Table holds the statements of the limited targets. It is safe for concurrent use.
+// Table holds the statements of the limited targets, and the shares of this front in
+// their limits. It is safe for concurrent use.
 type Table struct {
-	mu     sync.Mutex
-	quotas map[string]*quota
+	self  snipefleet.Member
+	fleet Fleet
+	log   *zap.Logger
+
+	mu         sync.Mutex
+	quotas     map[string]*quota
+	membership membership
+	// limitsVersion changes when a limit or the end of one is learned.
+	limitsVersion uint64
 }
 
 // quota is the state of one incarnation of a target that states a limit, or lately
 // stated one.
 type quota struct {
-	born      int64
+	target    *snipefleet.Target
 	statement Statement
+	// noted is the statement at the last change of the limit.
+	noted Statement
 	// unreadable is set if the last statement could not be read.
 	unreadable bool
+	// learnedAt is when this front last learned a limit that it passes on to others.
+	learnedAt snipetime.Instant
+
+	equal equalShare
+	lease lease
+	// limiter holds the rate of share, once a request has asked for the target.
+	limiter *rate.Limiter
+	share   float64
+	demand  demand
+	// probing is set if this front, which has no share, is to send a request, and
+	// probedAt is when it last did.
+	probing  bool
+	probedAt snipetime.Instant
+	// nextRetryAt is the earliest time at which the next refused caller retries.
+	nextRetryAt snipetime.Instant
+	// clients holds the senders that ask this front for leases, by name.
+	clients map[string]*client
+}
+
+// New returns an empty table of the front self.
+func New(self snipefleet.Member, fleet Fleet, log *zap.Logger) *Table {
+	return &Table{self: self, fleet: fleet, log: log, quotas: make(map[string]*quota)}
 }
 
-// New returns an empty table.
-func New() *Table { return &Table{quotas: make(map[string]*quota)} }
+// refreshInterval is the time after which a limit that has not changed is passed on
+// again.
+const refreshInterval = 5 * time.Second
 
-// Record records the statement of a target. It returns the one before and whether
-// the limit changed. A target without an entry that states no limit gets none.
+// Record records the statement of a target. It returns the one at the last change, and
+// whether the limit has changed since. A target without an entry that states no limit gets none.
 func (t *Table) Record(target *snipefleet.Target, s Statement) (before Statement, changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.record(target, s, s.At)
+}
+
+// record is Record for a caller that holds the lock and learned s at now.
+func (t *Table) record(target *snipefleet.Target, s Statement, now snipetime.Instant) (before Statement, changed bool) {
 	q := t.quota(target)
 	if q == nil {
 		if !s.Limited {
@@ -53,11 +105,22 @@
 		q = t.addQuota(target)
 	}
 	if s.At.Before(q.statement.At) {
-		return q.statement, false
+		return q.noted, false
 	}
-	before, q.statement = q.statement, s
+	before, q.statement = q.noted, s
 	q.unreadable = false
-	return before, !before.sameLimit(s)
+	changed = s.differs(before)
+	if changed {
+		q.noted = s
+	}
+	if changed || q.probing {
+		q.probing = false
+		t.limitsVersion++
+	}
+	if changed || now.Sub(q.learnedAt) >= refreshInterval {
+		q.learnedAt = now
+	}
+	return before, changed
 }
 
 // RecordUnreadable records that a statement of a target could not be read. The limit
@@ -74,14 +137,15 @@
 	return first
 }
 
-// Current returns the newest statement of a target.
-func (t *Table) Current(target *snipefleet.Target) Statement {
+// Current returns the newest statement of a target, and the share of its limit that
+// this front last used.
+func (t *Table) Current(target *snipefleet.Target) (s Statement, share float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if q := t.quota(target); q != nil {
-		return q.statement
+		return q.statement, q.share
 	}
-	return Statement{}
+	return Statement{}, 0
 }
 
 // NumLimited returns the number of limited targets.
@@ -97,12 +161,17 @@
 	return n
 }
 
-// Forget deletes the state of targets for whose ID known returns false.
-func (t *Table) Forget(known func(id string) bool) {
+// endedRetention is how long the end of a limit is kept, so that it can be passed on.
+const endedRetention = 10 * time.Second
+
+// Forget deletes the state of targets for whose ID known returns false, and of those
+// whose limit has ended some time ago.
+func (t *Table) Forget(now snipetime.Instant, known func(id string) bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for id := range t.quotas {
-		if !known(id) {
+	for id, q := range t.quotas {
+		ended := !q.statement.Limited && now.Sub(q.learnedAt) > endedRetention
+		if ended || !known(id) {
 			delete(t.quotas, id)
 		}
 	}
@@ -110,7 +179,7 @@
 
 // quota returns the state of a target, or nil if there is none.
 func (t *Table) quota(target *snipefleet.Target) *quota {
-	if q := t.quotas[target.ID]; q != nil && q.born == target.Born {
+	if q := t.quotas[target.ID]; q != nil && q.target.Born == target.Born {
 		return q
 	}
 	return nil
@@ -118,7 +187,7 @@
 
 // addQuota adds the state of a target. It replaces that of another incarnation.
 func (t *Table) addQuota(target *snipefleet.Target) *quota {
-	q := &quota{born: target.Born}
+	q := &quota{target: target, clients: make(map[string]*client)}
 	t.quotas[target.ID] = q
 	return q
 }
--- a/snipequota/table_test.go
+++ b/snipequota/table_test.go
@@ -3,13 +3,15 @@
 import (
 	"testing"
 
+	"go.uber.org/zap"
+
 	"github.com/snipemoor/snipemoor/snipefleet"
 )
 
 // TestStatements guards against a limit that outlives its target's last statement of
 // it, that an older statement replaces, or that an unreadable statement ends.
 func TestStatements(t *testing.T) {
-	table := New()
+	table := New(snipefleet.Member{Name: "f"}, snipefleet.New(), zap.NewNop())
 	target := &snipefleet.Target{ID: "t", Born: 1}
 	if _, changed := table.Record(target, Statement{At: 1}); changed || len(table.quotas) != 0 {
 		t.Error("a target without a limit has an entry")
@@ -27,7 +29,7 @@
 		{"ends", Statement{At: 6}, true, 0},
 	} {
 		_, changed := table.Record(target, step.s)
-		if got := table.Current(target); changed != step.changed || got.PerSecond != step.inForce {
+		if got, _ := table.Current(target); changed != step.changed || got.PerSecond != step.inForce {
 			t.Errorf("%s: changed %v, in force %+v", step.name, changed, got)
 		}
 	}
@@ -35,14 +37,14 @@
 	if !table.RecordUnreadable(target) || table.RecordUnreadable(target) {
 		t.Error("an unreadable statement is not reported once")
 	}
-	if s := table.Current(target); s.PerSecond != 7 || table.NumLimited() != 1 {
+	if s, _ := table.Current(target); s.PerSecond != 7 || table.NumLimited() != 1 {
 		t.Errorf("after an unreadable statement: %+v", s)
 	}
 	reborn := &snipefleet.Target{ID: "t", Born: 2}
-	if s := table.Current(reborn); s.Limited {
+	if s, _ := table.Current(reborn); s.Limited {
 		t.Errorf("a new incarnation is limited: %+v", s)
 	}
-	table.Forget(func(string) bool { return false })
+	table.Forget(8, func(string) bool { return false })
 	if table.NumLimited() != 0 {
 		t.Error("a target that left is still limited")
 	}
--- a/snipewire/doc.go
+++ b/snipewire/doc.go
@@ -10,7 +10,8 @@
 //   - ConfigAnnounce, ConfigRequest and ConfigReply pass on a generation of the
 //     configuration.
 //   - ItemsRequest and ItemsReply let a front follow the store through another
-//     front; both also carry recently observed loads of targets.
+//     front; both also carry recently observed loads and rate limits of targets.
+//     LimitNotice tells the limits to the fronts of other groups.
 //   - VouchRequest and VouchReply renew the lease of a position by a quorum of
 //     its region while the store is unavailable. ConsentRequest and ConsentReply
 //     obtain the consent of a quorum to the takeover of a lapsed position.
