snipegate: a front's part of the retry budget follows the number of fronts

Cause: the part was computed once, at the first request of a service, from the fronts known then; a front that knew 10 of 195 kept a tenth of the minimum for good, so that all parts added up to many times the minimum. Ruled out: the ratio part, which follows each front's own requests. Change: the settings are read before each use; tokens beyond the new part are lost. TestRetryBudgetFollowsFronts allowed 9 retries before and at most 1 now.

--- a/snipegate/gate.go
+++ b/snipegate/gate.go
@@ -83,8 +83,8 @@
 	// BodyMemory is the budget for the bodies of all requests, and for the
 	// responses to pipelined requests.
 	BodyMemory Memory
-	// RetryBudget returns the settings of a retry budget. It is called once for
-	// each service, at its first request.
+	// RetryBudget returns the settings of a retry budget. It is called before each use
+	// of one, since the part of this front changes with the number of fronts.
 	RetryBudget func() sniperetry.BudgetSettings
 }
 
@@ -199,11 +199,13 @@
 // budget returns the retry budget of a service, and creates it if there is none.
 // g.mu must be held.
 func (g *Gate) budget(service string) *sniperetry.Budget {
-	b := g.budgets[service]
+	b, now := g.budgets[service], g.Clock.Now()
 	if b == nil {
-		b = sniperetry.NewBudget(g.RetryBudget(), g.Clock.Now())
+		b = sniperetry.NewBudget(g.RetryBudget(), now)
 		g.budgets[service] = b
+		return b
 	}
+	b.Configure(g.RetryBudget(), now)
 	return b
 }
 
--- a/snipegate/gate_test.go
+++ b/snipegate/gate_test.go
@@ -399,6 +399,29 @@
 	r.Chooser.RecordResult(now, t, result)
 }
 
+// TestRetryBudgetFollowsFronts guards against a front that keeps the part of a retry
+// budget that it had when it knew few other fronts.
+func TestRetryBudgetFollowsFronts(t *testing.T) {
+	r := newTestGate(t, snipetable.Idempotent)
+	part := 10.0
+	r.gate.RetryBudget = func() sniperetry.BudgetSettings {
+		return sniperetry.BudgetSettings{Ratio: 0.1, MinimumPerSecond: 0.001, Cap: part, Initial: part}
+	}
+	spent := func() (n int) {
+		for r.gate.spendRetry("s") {
+			n++
+		}
+		return n
+	}
+	if !r.gate.spendRetry("s") {
+		t.Fatal("the budget allows no retry")
+	}
+	part = 1
+	if n := spent(); n > 1 {
+		t.Errorf("%d retries are allowed after the part has become 1", n)
+	}
+}
+
 // TestResults guards against wrong results reported to the chooser: a target that
 // runs requests past their deadlines counts as failing, and one that responds with
 // an application error or refuses a request does not.
--- a/sniperetry/budget.go
+++ b/sniperetry/budget.go
@@ -40,6 +40,15 @@
 	return s
 }
 
+// validated returns the settings with defaults. It panics if one is negative.
+func (s BudgetSettings) validated() BudgetSettings {
+	s = s.withDefaults()
+	if s.Ratio < 0 || s.MinimumPerSecond < 0 || s.Cap < 0 || s.Initial < 0 {
+		panic("sniperetry: negative budget setting")
+	}
+	return s
+}
+
 // Budget is the token bucket of the retries and hedges of one service. Each retry
 // or hedge takes one token. The package golang.org/x/time/rate does not fit, because
 // first attempts add tokens too, and not only the passing of time.
@@ -52,13 +61,18 @@
 // NewBudget returns a budget that holds its initial tokens. It panics if a setting is
 // negative.
 func NewBudget(settings BudgetSettings, now snipetime.Instant) *Budget {
-	s := settings.withDefaults()
-	if s.Ratio < 0 || s.MinimumPerSecond < 0 || s.Cap < 0 || s.Initial < 0 {
-		panic("sniperetry: negative budget setting")
-	}
+	s := settings.validated()
 	return &Budget{settings: s, tokens: min(s.Initial, s.Cap), refilled: now}
 }
 
+// Configure replaces the settings. Tokens beyond the new Cap are lost. It panics if a
+// setting is negative.
+func (b *Budget) Configure(settings BudgetSettings, now snipetime.Instant) {
+	b.refill(now)
+	b.settings = settings.validated()
+	b.tokens = min(b.tokens, b.settings.Cap)
+}
+
 // FirstAttempt adds Ratio tokens for a first attempt.
 func (b *Budget) FirstAttempt(now snipetime.Instant) {
 	b.refill(now)
