snipequota: limits of idle targets are asked after, and starting fronts learn all limits

Change: the first exchange with a watcher asks for limits of any age; a sender without an answer for 2 s assigns objects to the target as if it were not limited until one answers (admission stays). TestLimitOfIdleTarget fails without the change.

--- a/snipefeed/peer.go
+++ b/snipefeed/peer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/snipemoor/snipemoor/snipepeer"
@@ -59,7 +60,7 @@
 		reply := encodeBatch(b)
 		age := time.Duration(req.GetLoadsAgeMillis()) * time.Millisecond
 		reply.Loads = encodeLoads(loads.RecentLoads(clock.Now(), age))
-		reply.Limits = encodeLimits(limits.AnswerLimitReports(clock.Now(), from.Address, age))
+		reply.Limits = encodeLimits(limits.AnswerLimitReports(clock.Now(), from.Address, time.Duration(req.GetLimitsAgeMillis())*time.Millisecond))
 		return reply, nil
 	})
 }
@@ -155,7 +156,7 @@
 	b, err := p.call(ctx, &snipewire.ItemsRequest{
 		After: uint64(after), WaitMillis: uint32(wait.Milliseconds()),
 		Loads: encodeLoads(p.peers.loads.RecentLoads(now, age)), LoadsAgeMillis: uint32((age + wait).Milliseconds()),
-		Limits: encodeLimits(p.peers.limits.LimitReports(now, age)),
+		Limits: encodeLimits(p.peers.limits.LimitReports(now, age)), LimitsAgeMillis: p.peers.limitsAge(now, wait),
 	})
 	if err == nil {
 		p.peers.lastWatch = now
@@ -163,6 +164,15 @@
 	return b, err
 }
 
+// limitsAge returns the greatest age of the limits to ask for, in milliseconds: the time
+// since the last exchange, and any age in the first one.
+func (p *PeerSources) limitsAge(now snipetime.Instant, wait time.Duration) uint32 {
+	if p.lastWatch == 0 {
+		return math.MaxUint32
+	}
+	return uint32((now.Sub(p.lastWatch) + wait).Milliseconds())
+}
+
 // call sends a request to the other front and merges the loads and limits of its reply.
 func (p *peerSource) call(ctx context.Context, req *snipewire.ItemsRequest) (Batch, error) {
 	sent := p.peers.clock.Now()
--- a/snipequota/admission.go
+++ b/snipequota/admission.go
@@ -20,6 +20,8 @@
 	// together, if they have not heard of the limit for minProbePause.
 	probeShare    = 0.05
 	minProbePause = 10 * time.Second
+	// senderProbePause is the time without an answer after which a sender sends a request.
+	senderProbePause = 2 * time.Second
 	// noShareRetryDelay is the retry delay at a target in whose limit this front has no
 	// share.
 	noShareRetryDelay = 500 * time.Millisecond
@@ -126,11 +128,20 @@
 // mayTake reports whether this front may send a request to the target of q now.
 func (t *Table) mayTake(now snipetime.Instant, q *quota) bool {
 	if q.share == 0 {
-		return now.Sub(max(q.statement.At, q.probedAt)) >= t.probePause(q)
+		return t.probeDue(now, q)
 	}
 	return q.limiter.TokensAt(wallTime(now)) >= 1
 }
 
+// probeDue reports whether this front should find out whether the limit of q still
+// holds. A sender whose target gets few requests asks soon, since it may.
+func (t *Table) probeDue(now snipetime.Instant, q *quota) bool {
+	if t.equal(q).share > 0 {
+		return now.Sub(q.statement.At) >= senderProbePause
+	}
+	return now.Sub(max(q.statement.At, q.probedAt)) >= t.probePause(q)
+}
+
 // probePause returns the time after the last statement and the last own request after
 // which this front, which has no share, sends a request.
 func (t *Table) probePause(q *quota) time.Duration {
--- a/snipequota/exchange.go
+++ b/snipequota/exchange.go
@@ -179,14 +179,14 @@
 	return n
 }
 
-// startProbes marks the limits that this front has not heard of for long.
+// startProbes marks the limits of which this front has not heard for long, so that
+// requests are assigned to their targets until one answers.
 func (t *Table) startProbes(now snipetime.Instant) {
 	for _, q := range t.quotas {
-		if !q.statement.Limited || q.probing || t.equal(q).share > 0 || !t.mayTake(now, q) {
-			continue
+		if q.statement.Limited && !q.probing && t.probeDue(now, q) {
+			q.probing = true
+			t.limitsVersion++
 		}
-		q.probing = true
-		t.limitsVersion++
 	}
 }
 
--- a/snipequota/lease_test.go
+++ b/snipequota/lease_test.go
@@ -239,3 +239,20 @@
 		t.Error("the end of the limit is not known")
 	}
 }
+
+// TestLimitOfIdleTarget guards against a limit that outlives its end because no object
+// is assigned to its target, so that no answer shows the end.
+func TestLimitOfIdleTarget(t *testing.T) {
+	f := newTestFleet(1)
+	table := f.tables["0"]
+	f.now = f.now.Add(2 * membershipDelay)
+	version := table.Version()
+	table.Tick(f.now, 0)
+	if _, limited := table.Share(f.target); limited || table.Version() == version {
+		t.Error("the target is not asked after")
+	}
+	table.Record(f.target, Statement{Limited: true, PerSecond: testLimit, At: f.now})
+	if _, limited := table.Share(f.target); !limited {
+		t.Error("the limit is not in force after an answer that states it")
+	}
+}
