--- a/snipefleet/types.go
+++ b/snipefleet/types.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"time"
+	"unsafe"
 
 	"github.com/snipemoor/snipemoor/snipetime"
 )
@@ -135,3 +136,9 @@
 	}
 	return addresses, ids
 }
+
+// SameSlice reports whether two slices share their memory. Those of views are
+// immutable, so that their contents are then equal.
+func SameSlice[T any](a, b []T) bool {
+	return len(a) == len(b) && unsafe.SliceData(a) == unsafe.SliceData(b)
+}
--- a/snipeplacement/ranking.go
+++ b/snipeplacement/ranking.go
@@ -5,7 +5,6 @@
 	"math"
 	"slices"
 	"time"
-	"unsafe"
 
 	"github.com/snipemoor/snipemoor/snipefleet"
 )
@@ -71,7 +70,7 @@
 func (r *rankingCache) service(v *snipefleet.View, name string) *serviceRankings {
 	targets, members, version := v.Targets(name), v.Members(), r.limits.Version()
 	s := r.services[name]
-	if s != nil && sameSlice(s.targets, targets) && sameSlice(s.members, members) && s.limitsVersion == version && len(s.best) < maxCachedRankings {
+	if s != nil && snipefleet.SameSlice(s.targets, targets) && snipefleet.SameSlice(s.members, members) && s.limitsVersion == version && len(s.best) < maxCachedRankings {
 		return s
 	}
 	s = &serviceRankings{targets: targets, members: members, limitsVersion: version, best: make(map[rankingKey][]*snipefleet.Target)}
@@ -123,12 +122,6 @@
 	return s.smallBodyWeights
 }
 
-// sameSlice reports whether two slices share their memory. Views are immutable, so
-// their contents are then equal.
-func sameSlice[T any](a, b []T) bool {
-	return len(a) == len(b) && unsafe.SliceData(a) == unsafe.SliceData(b)
-}
-
 // rankedTarget is a target with its distance to an object: the logarithm of the
 // rendezvous hash over the weight, with the sign reversed. A smaller distance is
 // better.
--- /dev/null
+++ b/snipeplacement/selection.go
@@ -0,0 +1,179 @@
+package snipeplacement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/snipemoor/snipemoor/snipefleet"
+	"github.com/snipemoor/snipemoor/snipetime"
+)
+
+const (
+	// targetsPerObject is the number of targets to which an object is assigned.
+	targetsPerObject = 2
+	// firstMaxLoad is the concurrency limit of the first target of an object, in
+	// requests per slot: one that runs and one that waits for the slot.
+	firstMaxLoad = 2.0
+	// furtherMaxLoad is the limit of the other targets of an object, in requests per
+	// slot. They get requests only if a slot is free, since an object that is used at
+	// several targets occupies the caches of all of them.
+	furtherMaxLoad = 1.0
+	// divertedMaxLoad is the limit, in requests per slot, of a target that gets a request
+	// because the rate limit of another does not admit it. Such requests take the places
+	// of other objects in the caches of the target, which only one with few requests can
+	// bear.
+	divertedMaxLoad = 0.5
+)
+
+// maxReportedCandidates bounds the candidates that a refusal lists.
+const maxReportedCandidates = 4
+
+// selection is the state of one search for a target below its concurrency limit.
+type selection struct {
+	chooser *Chooser
+	now     snipetime.Instant
+	view    *snipefleet.View
+	query   *Query
+	// considered is the number of targets that were neither suspect nor cold, and whose
+	// rate limits admit the request.
+	considered int
+	refusal    Refusal
+	skipped    [maxReportedCandidates]Candidate
+	numSkipped int
+	// soonest is the full target that is expected to be below its limit first, at
+	// soonestFree.
+	soonest     *targetState
+	soonestFree snipetime.Instant
+	// limited is the first target whose rate limit does not admit the request, and
+	// numLimited the number of such targets.
+	limited    *snipefleet.Target
+	numLimited int
+}
+
+// buildRefusal returns the refusal. If targets are full or limited, it reserves a retry
+// time of its own for this caller, so that refused callers do not all retry at once.
+func (s *selection) buildRefusal() *Refusal {
+	out := s.refusal
+	out.Candidates = slices.Clone(s.skipped[:s.numSkipped])
+	switch {
+	case s.soonest != nil && out.Reason == ReasonFull:
+		out.RetryAfter = s.soonest.reserveRetry(s.now, s.soonestFree)
+	case s.limited != nil && out.Reason == ReasonLimited:
+		out.RetryAfter = s.chooser.limits.RetryDelay(s.now, s.limited)
+	}
+	return &out
+}
+
+// firstAdmitting returns the first of the targets to which the request can be sent,
+// and false if there is none among the first targetsPerObject that are neither
+// suspect nor cold and whose rate limits admit the request.
+func (s *selection) firstAdmitting(targets []*snipefleet.Target) (Candidate, bool) {
+	for _, t := range targets {
+		if s.considered == targetsPerObject {
+			break
+		}
+		if !s.query.Route.AllowsRegion(t.Place.Region) || slices.Contains(s.query.Excluded, t) {
+			continue
+		}
+		candidate := s.evaluate(t)
+		if candidate.SkipReason == "" {
+			return candidate, true
+		}
+		if s.numSkipped < maxReportedCandidates {
+			s.skipped[s.numSkipped] = candidate
+			s.numSkipped++
+		}
+	}
+	return Candidate{}, false
+}
+
+// evaluate decides whether the request can be sent to a target now, and records the
+// reason if not.
+func (s *selection) evaluate(t *snipefleet.Target) Candidate {
+	state := s.chooser.state(t)
+	candidate := Candidate{Target: t, Load: state.estimatedLoad(s.now), LoadAge: s.now.Sub(state.reportedAt)}
+	if state.suspect(s.now) {
+		candidate.SkipReason = ReasonSuspect
+		s.refusal.merge(ReasonSuspect, noTargetRetryDelay)
+		return candidate
+	}
+	if !s.admitsLimit(t, &candidate) {
+		candidate.SkipReason = ReasonLimited
+		return candidate
+	}
+	if s.chooser.cold(s.now, s.view, t, s.query.Info) {
+		if !s.chooser.acquireColdToken(s.now, s.view, t, state, s.query.Info) {
+			candidate.SkipReason = ReasonCold
+			s.refusal.merge(ReasonCold, coldRetryDelay)
+		}
+		return candidate
+	}
+	s.considered++
+	room := s.maxLoad(t) - candidate.Load
+	switch {
+	case room >= 1:
+	case s.diverted():
+		candidate.SkipReason = ReasonFull
+	default:
+		candidate.SkipReason = ReasonFull
+		s.recordFull(t, state, 1-room)
+	}
+	return candidate
+}
+
+// admitsLimit reports whether the rate limit of a target, if it states one, admits the
+// request. It is asked for targetsPerObject targets at most, so that objects do not
+// occupy the caches of many limited targets.
+func (s *selection) admitsLimit(t *snipefleet.Target, candidate *Candidate) bool {
+	if s.numLimited == targetsPerObject {
+		_, limited := s.chooser.limits.Share(t)
+		return !limited
+	}
+	candidate.Limit = s.chooser.limits.Check(s.now, t)
+	if candidate.Limit.Admitted {
+		return true
+	}
+	s.numLimited++
+	s.limited = cmp.Or(s.limited, t)
+	s.refusal.merge(ReasonLimited, 0)
+	return false
+}
+
+// diverted reports whether the rate limit of a target before did not admit the request.
+func (s *selection) diverted() bool { return s.numLimited > 0 }
+
+// maxLoad returns the concurrency limit, in requests, of the target that is considered.
+func (s *selection) maxLoad(t *snipefleet.Target) float64 {
+	perSlot := furtherMaxLoad
+	switch {
+	case s.diverted():
+		perSlot = divertedMaxLoad
+	case s.considered <= 1:
+		perSlot = firstMaxLoad
+	}
+	return max(perSlot*float64(t.Slots), 1)
+}
+
+// recordFull records a full target, which is below its limit when n of its requests
+// have ended.
+func (s *selection) recordFull(t *snipefleet.Target, st *targetState, n float64) {
+	s.refusal.merge(ReasonFull, 0)
+	free := st.slotFreeAt(s.now, t, n)
+	if s.soonest == nil || free.Before(s.soonestFree) {
+		s.soonest, s.soonestFree = st, free
+	}
+}
+
+// merge adds the reason and the delay at another target: of the same reason, the
+// shortest delay counts; ReasonFull is kept; any other reason is replaced.
+func (r *Refusal) merge(reason Reason, delay time.Duration) {
+	if r.Reason == reason {
+		r.RetryAfter = min(r.RetryAfter, delay)
+		return
+	}
+	if r.Reason == ReasonFull {
+		return
+	}
+	r.Reason, r.RetryAfter = reason, delay
+}
--- a/snipeplacement/sim_test.go
+++ b/snipeplacement/sim_test.go
@@ -37,7 +37,6 @@
 type simTarget struct {
 	running, waiting int
 	pending          []*simRequest
-	hits, misses     int
 	lru              *list.List
 	cache            map[string]*list.Element
 }
@@ -50,10 +49,8 @@
 func (s *simTarget) accessCache(object string) bool {
 	if e := s.cache[object]; e != nil {
 		s.lru.MoveToFront(e)
-		s.hits++
 		return true
 	}
-	s.misses++
 	s.cache[object] = s.lru.PushFront(object)
 	if s.lru.Len() > cacheSize {
 		last := s.lru.Remove(s.lru.Back()).(string)
--- a/snipequota/membership.go
+++ b/snipequota/membership.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-	"unsafe"
 
 	"github.com/snipemoor/snipemoor/snipefeed"
 	"github.com/snipemoor/snipemoor/snipefleet"
@@ -65,7 +64,7 @@
 		m.divisions = m.divisions[1:]
 		m.version++
 	}
-	if sameSlice(m.members, members) {
+	if snipefleet.SameSlice(m.members, members) {
 		return
 	}
 	m.members = members
@@ -94,12 +93,6 @@
 // current returns the current division.
 func (m *membership) current() snipefeed.Groups { return m.divisions[len(m.divisions)-1].groups }
 
-// sameSlice reports whether two slices share their memory. Views are immutable, so
-// their contents are then equal.
-func sameSlice[T any](a, b []T) bool {
-	return len(a) == len(b) && unsafe.SliceData(a) == unsafe.SliceData(b)
-}
-
 func indexOf(members []snipefleet.Member, name string) int {
 	return slices.IndexFunc(members, func(m snipefleet.Member) bool { return m.Name == name })
 }
