--- a/snipegate/gate_test.go
+++ b/snipegate/gate_test.go
@@ -399,6 +399,33 @@
 	r.Chooser.RecordResult(now, t, result)
 }
 
+// TestLimitStatements guards against a limit that ends with a response that is not the
+// target's own or whose statement cannot be read, and against one that does not end.
+func TestLimitStatements(t *testing.T) {
+	r := newTestGate(t, snipetable.Idempotent)
+	target := r.fleet.View().Target("s", "a")
+	limit := 5.0
+	for _, step := range []struct {
+		name    string
+		headers ResponseHeaders
+		limited bool
+	}{
+		{"none", ResponseHeaders{Signed: true}, false},
+		{"stated", ResponseHeaders{Signed: true, Limit: &limit}, true},
+		{"not readable", ResponseHeaders{Signed: true, LimitErr: errors.New("many")}, true},
+		{"not its own", ResponseHeaders{}, true},
+		{"another target's", ResponseHeaders{NotRun: true, WrongTarget: true}, true},
+		{"refused without a limit", ResponseHeaders{NotRun: true}, false},
+		{"stated in a refusal", ResponseHeaders{NotRun: true, Limit: &limit}, true},
+		{"answered without a limit", ResponseHeaders{Signed: true}, false},
+	} {
+		(&request{gate: r.gate}).recordLimit(target, step.headers)
+		if s, _ := r.gate.Limits.Current(target); s.Limited != step.limited {
+			t.Errorf("%s: limited %v", step.name, s.Limited)
+		}
+	}
+}
+
 // TestRetryBudgetFollowsFronts guards against a front that keeps the part of a retry
 // budget that it had when it knew few other fronts.
 func TestRetryBudgetFollowsFronts(t *testing.T) {
