snipegate, platform: log and count targets that state that they leave or rest

The lines "target leaving", "target rests" and "target rest not readable" and the metric snipemoor_target_statements_total now say what a front read, with the request whose response says so. What is sent does not change.

--- a/snipegate/attempts.go
+++ b/snipegate/attempts.go
@@ -14,7 +14,6 @@
 	"github.com/snipemoor/snipemoor/snipeconn"
 	"github.com/snipemoor/snipemoor/snipefleet"
 	"github.com/snipemoor/snipemoor/snipeplacement"
-	"github.com/snipemoor/snipemoor/snipequota"
 	"github.com/snipemoor/snipemoor/snipetable"
 )
 
@@ -195,7 +194,7 @@
 // to be retried or refused instead.
 func (q *request) handleResponse(t *snipefleet.Target, sent time.Time, resp *snipeconn.Response) attemptResult {
 	s := q.gate.HeaderCodec.Statement(resp.Status, resp.Header)
-	q.recordLimit(t, s)
+	q.recordStatements(t, s)
 	q.reused = resp.Reused
 	tooSlow := resp.Status == http.StatusGatewayTimeout && !s.NotRun
 	result := snipeplacement.Result{Latency: time.Since(sent), Load: s.Load, Completed: !s.NotRun && !tooSlow, Failed: tooSlow}
@@ -235,30 +234,6 @@
 	return delivered
 }
 
-// recordLimit records and logs what a response states about the rate limit of its
-// target. A statement that cannot be read leaves the limit before it in force.
-func (q *request) recordLimit(t *snipefleet.Target, h ResponseHeaders) {
-	if h.LimitErr != nil {
-		if q.gate.Limits.RecordUnreadable(t) {
-			q.gate.Log.Warn("target limit not readable", zap.String("target", t.ID), zap.String("request", q.call.ID), zap.Error(h.LimitErr))
-		}
-		return
-	}
-	s := snipequota.Statement{At: q.gate.Clock.Now()}
-	switch {
-	case h.Limit != nil:
-		s.Limited, s.PerSecond = true, *h.Limit
-	case !h.ownStatement():
-		return
-	}
-	if before, changed := q.gate.Limits.Record(t, s); changed {
-		q.gate.Log.Info("target limit", zap.String("target", t.ID), zap.String("service", t.Service),
-			zap.Bool("limited", s.Limited), zap.Float64("perSecond", s.PerSecond),
-			zap.Bool("limitedBefore", before.Limited), zap.Float64("perSecondBefore", before.PerSecond),
-			zap.String("request", q.call.ID))
-	}
-}
-
 // recordStreamEnd reports the result of a streamed response to the chooser. The load
 // in the headers is left out, because it is as old as the start of the response.
 func (q *request) recordStreamEnd(t *snipefleet.Target, result snipeplacement.Result) {
--- a/snipegate/headers.go
+++ b/snipegate/headers.go
@@ -35,6 +35,12 @@
 	// fronts, or nil if it states none. LimitErr is set if the statement cannot be read.
 	Limit    *float64
 	LimitErr error
+	// Leaving means that the target leaves and takes no further requests.
+	Leaving bool
+	// Rest is how long the target wants no requests from this front, or 0. RestErr is set
+	// if a part of the statement cannot be read, or if Rest is shorter than stated.
+	Rest    time.Duration
+	RestErr error
 }
 
 // ownStatement reports whether the headers show that the response is the target's
--- a/snipegate/metrics.go
+++ b/snipegate/metrics.go
@@ -11,6 +11,8 @@
 	requests *prometheus.CounterVec
 	retries  *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
+	// statements counts the responses that state that their target leaves or rests.
+	statements *prometheus.CounterVec
 }
 
 // NewMetrics returns metrics that are registered with r. It panics if metrics of the
@@ -27,8 +29,11 @@
 			Name: "snipemoor_request_seconds", Help: "Time from reading the headers of a request to its answer, by outcome.",
 			Buckets: []float64{0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.25, 0.3, 0.4, 0.5, 0.75, 1, 2, 4, 8},
 		}, []string{"outcome"}),
+		statements: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "snipemoor_target_statements_total", Help: "Responses that state that their target leaves or rests.",
+		}, []string{"statement"}),
 	}
-	r.MustRegister(m.requests, m.retries, m.latency)
+	r.MustRegister(m.requests, m.retries, m.latency, m.statements)
 	return m
 }
 
@@ -38,5 +43,8 @@
 	m.latency.WithLabelValues(string(o)).Observe(elapsed.Seconds())
 }
 
+// countStatement counts a statement of a target.
+func (m *Metrics) countStatement(statement string) { m.statements.WithLabelValues(statement).Inc() }
+
 // countRetry counts a retry after an attempt with outcome o.
 func (m *Metrics) countRetry(o Outcome) { m.retries.WithLabelValues(string(o)).Inc() }
