snipegate, snipefleet: a target that states in a response that it leaves is not used

Cause: fronts took a target's leaving from the store only, and read no header that states it. So nothing changed while the store was away, restored or behind. Class of fault: a belief that has a second source which nobody reads. Ruled out by the log lines: statements that do not arrive; each was read.

The registry stays the one owner of the belief that a target leaves. A response is one more source of it, and like a report that the target drains it holds for this incarnation whatever the store says later. It ends with a new incarnation, or for a target without a start time with another address. The head of a response that breaks off counts too; a 421 states nothing about the target that was meant.

--- a/snipeconn/conn_test.go
+++ b/snipeconn/conn_test.go
@@ -171,6 +171,21 @@
 	}
 }
 
+// TestHeadOfBrokenResponse guards against losing what a target states in the head of a
+// response that then breaks off.
+func TestHeadOfBrokenResponse(t *testing.T) {
+	address := startTarget(t, func(c net.Conn, r *bufio.Reader) {
+		if _, err := readRequest(r); err == nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 404 Not Found\r\nStated: yes\r\nContent-Length: 10\r\n\r\nabc")
+		}
+	})
+	_, err := New(Settings{}).Send(context.Background(), newRequest(address, "1", time.Second))
+	var f *Error
+	if !errors.As(err, &f) || f.Status != http.StatusNotFound || f.Header.Get("Stated") != "yes" {
+		t.Errorf("error %+v, want the head of the response", err)
+	}
+}
+
 // TestCancel guards against a connection that stays open after its context is
 // cancelled, so that the target goes on working for a disconnected caller.
 func TestCancel(t *testing.T) {
--- a/snipeconn/errors.go
+++ b/snipeconn/errors.go
@@ -1,6 +1,9 @@
 package snipeconn
 
-import "fmt"
+import (
+	"fmt"
+	"net/http"
+)
 
 // Cause is the kind of a failure, as written to logs and metrics.
 type Cause string
@@ -32,6 +35,10 @@
 	Cause Cause
 	// Reused reports whether the request was sent on a reused connection.
 	Reused bool
+	// Status and Header are those of the response if it broke off after its head, and
+	// otherwise zero and nil.
+	Status int
+	Header http.Header
 	// Err is the underlying error.
 	Err error
 }
--- a/snipeconn/exchange.go
+++ b/snipeconn/exchange.go
@@ -74,6 +74,8 @@
 	written chan error
 	// reservedBytes is the part of Settings.Memory that the exchange holds.
 	reservedBytes int64
+	// head is the head of the response to the request, once it has been read.
+	head *http.Response
 }
 
 // pastDeadline makes pending reads and writes of a connection fail at once.
@@ -93,10 +95,14 @@
 		return nil, err
 	}
 	resp, err := e.readResponse()
-	if err != nil {
-		return nil, e.newError(true, err)
+	if err == nil {
+		return resp, nil
 	}
-	return resp, nil
+	failure := e.newError(true, err)
+	if e.head != nil {
+		failure.Status, failure.Header = e.head.StatusCode, e.head.Header
+	}
+	return nil, failure
 }
 
 // writeRequest writes the request. A large body is still being written when it
--- a/snipeconn/response.go
+++ b/snipeconn/response.go
@@ -99,6 +99,7 @@
 			}
 			continue
 		}
+		e.head = resp
 		return e.readBody(resp)
 	}
 	return nil, errTooManySkipped
--- a/snipefleet/registry.go
+++ b/snipefleet/registry.go
@@ -33,6 +33,8 @@
 type departure struct {
 	born    int64
 	forGood bool
+	// address tells incarnations apart that state no start time.
+	address string
 	// last is the newest report before the entry was removed.
 	last reportState
 }
@@ -45,7 +47,7 @@
 	case t.Born != d.born:
 		return t.Born < d.born
 	case d.forGood:
-		return true
+		return t.Born != 0 || t.Address == d.address
 	default:
 		return t.Sequence < d.last.sequence || t.Sequence == d.last.sequence && t.Revision == d.last.revision
 	}
@@ -201,7 +203,7 @@
 		next.ColdUntil = now.Add(t.Cold)
 	}
 	if t.Draining {
-		r.departed[t.ID] = departure{born: t.Born, forGood: true}
+		r.departForGood(next)
 	}
 	if old != nil && old.value.Born == t.Born {
 		next.FirstReported = old.value.FirstReported
@@ -270,13 +272,41 @@
 	r.departed[t.ID] = departure{born: t.Born, last: *t.reportState}
 }
 
+// departForGood records that no report returns the incarnation t to use. The caller holds
+// the lock.
+func (r *Registry) departForGood(t *Target) {
+	if d, ok := r.departed[t.ID]; ok && d.born > t.Born {
+		return
+	}
+	r.departed[t.ID] = departure{born: t.Born, forGood: true, address: t.Address}
+}
+
+// MarkLeaving records that the incarnation t has stated that it leaves, and reports
+// whether that was not known. Like a report that the target drains, it holds whatever the
+// store says later about this incarnation.
+func (r *Registry) MarkLeaving(t *Target) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if d, ok := r.departed[t.ID]; ok && d.forGood && d.born == t.Born && d.address == t.Address {
+		return false
+	}
+	r.departForGood(t)
+	if e := r.targets[t.ID]; e != nil && e.value.Born == t.Born && e.value.Address == t.Address {
+		leaving := *e.value
+		leaving.Draining = true
+		e.value = &leaving
+		r.publish()
+	}
+	return true
+}
+
 // MarkMisaddressed records that another target answered at the address of t. The
 // incarnation t has therefore left, and is removed.
 func (r *Registry) MarkMisaddressed(t *Target) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if t.Born > 0 && r.departed[t.ID].born <= t.Born {
-		r.departed[t.ID] = departure{born: t.Born, forGood: true}
+	if t.Born > 0 {
+		r.departForGood(t)
 	}
 	if e := r.targets[t.ID]; e != nil && e.value.Born == t.Born {
 		delete(r.targets, t.ID)
--- a/snipefleet/registry_test.go
+++ b/snipefleet/registry_test.go
@@ -96,6 +96,76 @@
 	}
 }
 
+// TestLeavingStatement guards against a target that returns to use although it stated that
+// it leaves, because of what the store says about the same incarnation, and against a new
+// incarnation or another target at its address that stays out of use.
+func TestLeavingStatement(t *testing.T) {
+	changed := func(born int64, change func(*TargetReport)) TargetReport {
+		out := report("a", born)
+		change(&out)
+		return out
+	}
+	update := func(report TargetReport) func(*Registry) {
+		return func(r *Registry) { r.UpdateTarget(2*second, report) }
+	}
+	for name, tc := range map[string]struct {
+		born   int64
+		change func(*Registry)
+		usable int
+	}{
+		"nothing":            {1, func(*Registry) {}, 0},
+		"older entry":        {1, update(report("a", 1)), 0},
+		"entry written anew": {1, update(changed(1, func(r *TargetReport) { r.Sequence, r.Revision = 9, 9 })), 0},
+		"removed, then again": {1, func(r *Registry) {
+			r.RemoveTarget(second, "a")
+			update(changed(1, func(r *TargetReport) { r.Sequence = 9 }))(r)
+		}, 0},
+		"store lost": {1, func(r *Registry) {
+			r.StoreLost()
+			r.RemoveTarget(second, "a")
+			r.StoreRegained(2 * second)
+			update(report("a", 1))(r)
+		}, 0},
+		"store restored": {1, func(r *Registry) {
+			r.StoreRestored(second)
+			r.RemoveUnlisted(second, Listing{})
+			update(report("a", 1))(r)
+		}, 0},
+		"earlier incarnation":          {2, update(report("a", 1)), 0},
+		"new incarnation":              {1, update(report("a", 2)), 1},
+		"other target at its address":  {1, update(TargetReport{ID: "b", Service: "s", Address: "a", Born: 1}), 1},
+		"no start time, same address":  {0, update(changed(0, func(r *TargetReport) { r.Sequence = 9 })), 0},
+		"no start time, other address": {0, update(changed(0, func(r *TargetReport) { r.Address = "c" })), 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := New()
+			r.UpdateTarget(0, report("a", tc.born))
+			target := r.View().Targets("s")[0]
+			if !r.MarkLeaving(target) || r.MarkLeaving(target) {
+				t.Error("only the first statement is to count as new")
+			}
+			tc.change(r)
+			if n := usableCount(r); n != tc.usable {
+				t.Errorf("%d targets are in use, want %d", n, tc.usable)
+			}
+		})
+	}
+}
+
+// TestLateLeavingStatement guards against a statement of an earlier incarnation, in a
+// response that was on its way, that takes the next one out of use.
+func TestLateLeavingStatement(t *testing.T) {
+	r := New()
+	r.UpdateTarget(0, report("a", 1))
+	earlier := r.View().Targets("s")[0]
+	r.UpdateTarget(second, report("a", 2))
+	r.MarkLeaving(earlier)
+	r.UpdateTarget(2*second, report("a", 2))
+	if usableCount(r) != 1 {
+		t.Fatal("the new incarnation is not in use")
+	}
+}
+
 // TestDeparturesDuringLoss guards against requests to targets that left while only
 // this front had lost the store.
 func TestDeparturesDuringLoss(t *testing.T) {
--- a/snipegate/attempts.go
+++ b/snipegate/attempts.go
@@ -168,6 +168,9 @@
 	failure := &snipeconn.Error{MayHaveBegun: true, Cause: snipeconn.CauseConnectionLost, Err: err}
 	errors.As(err, &failure)
 	q.cause, q.reused = failure, failure.Reused
+	if failure.Header != nil {
+		q.recordStatements(t, q.gate.HeaderCodec.Statement(failure.Status, failure.Header))
+	}
 	result := snipeplacement.Result{Latency: time.Since(sent)}
 	switch failure.Cause {
 	case snipeconn.CauseDial:
--- a/snipegate/gate.go
+++ b/snipegate/gate.go
@@ -54,6 +54,9 @@
 	View() *snipefleet.View
 	// MarkMisaddressed reports that the address of t belongs to another target.
 	MarkMisaddressed(t *snipefleet.Target)
+	// MarkLeaving reports that t states that it leaves, and returns whether that was not
+	// known.
+	MarkLeaving(t *snipefleet.Target) (first bool)
 }
 
 // Memory is a memory budget that several components share.
--- a/snipegate/gate_test.go
+++ b/snipegate/gate_test.go
@@ -40,7 +40,11 @@
 
 func (testDialect) Statement(status int, h http.Header) ResponseHeaders {
 	misaddressed := status == http.StatusMisdirectedRequest
-	return ResponseHeaders{NotRun: misaddressed || h.Get("Not-Run") != "", WrongTarget: misaddressed, Signed: h.Get("Signed") != ""}
+	rest, _ := time.ParseDuration(h.Get("Rest"))
+	return ResponseHeaders{
+		NotRun: misaddressed || h.Get("Not-Run") != "", WrongTarget: misaddressed, Signed: h.Get("Signed") != "",
+		Leaving: h.Get("Leaving") != "", Rest: rest,
+	}
 }
 
 // sendResult is the result of one call of Send.
--- a/snipegate/statements.go
+++ b/snipegate/statements.go
@@ -25,12 +25,15 @@
 	q.recordRest(t, h)
 }
 
-// recordLeaving logs that a target leaves.
+// recordLeaving records that a target leaves, and logs it once.
 func (q *request) recordLeaving(t *snipefleet.Target, h ResponseHeaders) {
 	if !h.Leaving {
 		return
 	}
 	q.gate.Metrics.countStatement(statementLeaving)
+	if !q.gate.Fleet.MarkLeaving(t) {
+		return
+	}
 	q.gate.Log.Info("target leaving", zap.String("target", t.ID), zap.String("service", t.Service), zap.String("request", q.call.ID))
 }
 
