snipeplacement, snipegate: a target that asks for rest gets no requests in that time

Cause: no front read the header of a target; a refusal with a free slot was even taken for temporary and sent to the same target again. Same class of fault as the leaving statements: a statement that nobody reads. Ruled out by the log lines: statements that do not arrive, and repeats alone; first attempts are most of the requests.

The chooser keeps the end of the rest with the state of the target's incarnation, and asks it before all other checks. Requests go to other targets by the usual choice. If all rest, the refusal comes at once and names the time of the first return; callers that are refused one after the other get successive times. Only time or a new incarnation ends a rest.

--- a/snipefront/front.go
+++ b/snipefront/front.go
@@ -154,6 +154,7 @@
 		value      func() float64
 	}{
 		{"snipemoor_limited_targets", "Targets that state a rate limit.", func() float64 { return float64(f.quotas.NumLimited()) }},
+		{"snipemoor_resting_targets", "Targets that want no requests from this front.", func() float64 { return float64(f.chooser.NumResting(f.clock.Now())) }},
 		{"snipemoor_store_epoch", "Restorations of the store, as it states them.", func() float64 { return float64(f.items.Position().Epoch) }},
 		{"snipemoor_store_revision", "Revision of the store up to which changes are applied.", func() float64 { return float64(f.items.Position().Revision) }},
 		{"snipemoor_configuration_version", "Version of the configuration in force, 0 before the first one.", f.configurationVersion},
@@ -269,7 +270,7 @@
 	addresses, ids := v.UsableAddressesAndIDs()
 	f.pools.CloseExpired(time.Now(), func(address string) bool { return addresses[address] })
 	known := func(id string) bool { return ids[id] }
-	f.chooser.Forget(known)
+	f.chooser.Forget(now, known)
 	f.quotas.Forget(now, known)
 }
 
--- a/snipegate/attempts.go
+++ b/snipegate/attempts.go
@@ -58,7 +58,7 @@
 		case notRun, notSent:
 		}
 		if !q.acquireRetry(result) {
-			q.refuse(q.outcome, q.retryDelay)
+			q.refuseAfterAttempt(q.retryDelay)
 			return
 		}
 		q.reportRetry()
@@ -83,19 +83,20 @@
 	if len(q.tried) == 0 {
 		q.outcome = Outcome(refusal.Reason)
 	}
-	q.refuse(q.outcome, refusal.RetryAfter)
+	q.refuseAfterAttempt(refusal.RetryAfter)
+}
+
+// refuseAfterAttempt refuses a request with the outcome of its last attempt or choice.
+// The caller is told to retry after the given delay, or later if all targets rest.
+func (q *request) refuseAfterAttempt(retryDelay time.Duration) {
+	now := q.gate.Clock.Now()
+	q.refuse(q.outcome, max(retryDelay, q.gate.Chooser.RestRemaining(now, q.gate.Fleet.View(), q.placementQuery())))
 }
 
 // chooseTarget chooses the target of the next attempt. If there is none, it returns
 // the refusal.
 func (q *request) chooseTarget() *snipeplacement.Refusal {
-	choice, refusal := q.gate.Chooser.Choose(q.gate.Clock.Now(), q.gate.Fleet.View(), &snipeplacement.Query{
-		Service:  q.service,
-		Info:     q.table.Service(q.service),
-		Route:    q.route,
-		Object:   q.placementKey(),
-		Excluded: q.excluded,
-	})
+	choice, refusal := q.gate.Chooser.Choose(q.gate.Clock.Now(), q.gate.Fleet.View(), q.placementQuery())
 	if refusal != nil {
 		q.refusal = refusal
 		return refusal
@@ -106,6 +107,17 @@
 	return nil
 }
 
+// placementQuery returns the description of the request for the chooser.
+func (q *request) placementQuery() *snipeplacement.Query {
+	return &snipeplacement.Query{
+		Service:  q.service,
+		Info:     q.table.Service(q.service),
+		Route:    q.route,
+		Object:   q.placementKey(),
+		Excluded: q.excluded,
+	}
+}
+
 // numSpreadKeys is the number of keys over which requests without an object are
 // distributed.
 const numSpreadKeys = 64
@@ -213,7 +225,7 @@
 		return notRun
 	case s.NotRun:
 		q.outcome, q.retryDelay = OutcomeTargetRefused, fullTargetRetryDelay
-		if hasFreeSlot(s.Load) {
+		if hasFreeSlot(s.Load) && s.Rest == 0 {
 			// The refusal is temporary, since the target has a free slot: it
 			// remains a candidate, because it probably has the object cached.
 			q.excluded = q.excluded[:len(q.excluded)-1]
--- a/snipegate/gate.go
+++ b/snipegate/gate.go
@@ -46,6 +46,13 @@
 type Chooser interface {
 	Choose(now snipetime.Instant, v *snipefleet.View, q *snipeplacement.Query) (snipeplacement.Candidate, *snipeplacement.Refusal)
 	RecordResult(now snipetime.Instant, t *snipefleet.Target, r snipeplacement.Result)
+	// RecordRest records how long t wants no requests, and reports whether it did not rest
+	// before. RecordUnreadableRest reports whether it is the first
+	// statement that cannot be read.
+	RecordRest(now snipetime.Instant, t *snipefleet.Target, d time.Duration) (began bool)
+	RecordUnreadableRest(t *snipefleet.Target) (first bool)
+	// RestRemaining returns when a caller may retry because all targets rest, or zero.
+	RestRemaining(now snipetime.Instant, v *snipefleet.View, q *snipeplacement.Query) time.Duration
 }
 
 // Fleet is the part of snipefleet.Registry that the gate uses.
--- a/snipegate/statements.go
+++ b/snipegate/statements.go
@@ -37,20 +37,33 @@
 	q.gate.Log.Info("target leaving", zap.String("target", t.ID), zap.String("service", t.Service), zap.String("request", q.call.ID))
 }
 
-// recordRest logs that a target wants no requests from this front for some time.
+// recordRest records that a target wants no requests from this front for some time. It
+// logs the beginning, and the first statement that cannot be read.
 func (q *request) recordRest(t *snipefleet.Target, h ResponseHeaders) {
-	if h.RestErr != nil {
-		q.gate.Metrics.countStatement(statementRestUnreadable)
-		q.gate.Log.Warn("target rest not readable", zap.String("target", t.ID), zap.String("request", q.call.ID), zap.Error(h.RestErr))
-	}
+	q.recordUnreadableRest(t, h)
 	if h.Rest == 0 {
 		return
 	}
 	q.gate.Metrics.countStatement(statementRest)
+	if !q.gate.Chooser.RecordRest(q.gate.Clock.Now(), t, h.Rest) {
+		return
+	}
 	q.gate.Log.Info("target rests", zap.String("target", t.ID), zap.String("service", t.Service),
 		zap.Duration("rest", h.Rest), zap.String("request", q.call.ID))
 }
 
+// recordUnreadableRest records that a statement of a target about its rest, or a part of
+// it, cannot be read.
+func (q *request) recordUnreadableRest(t *snipefleet.Target, h ResponseHeaders) {
+	if h.RestErr == nil {
+		return
+	}
+	q.gate.Metrics.countStatement(statementRestUnreadable)
+	if q.gate.Chooser.RecordUnreadableRest(t) {
+		q.gate.Log.Warn("target rest not readable", zap.String("target", t.ID), zap.String("request", q.call.ID), zap.Error(h.RestErr))
+	}
+}
+
 // recordLimit records and logs what a response states about the rate limit of its
 // target. A statement that cannot be read leaves the limit before it in force.
 func (q *request) recordLimit(t *snipefleet.Target, h ResponseHeaders) {
--- a/snipegate/statements_test.go
+++ b/snipegate/statements_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"net/http"
+	"strconv"
 	"testing"
 
 	"github.com/snipemoor/snipemoor/snipeconn"
+	"github.com/snipemoor/snipemoor/snipeplacement"
 	"github.com/snipemoor/snipemoor/snipetable"
 )
 
@@ -49,3 +51,40 @@
 		}
 	})
 }
+
+// TestRefusalsOfRestingTargets guards against requests to a target that rests although it
+// has free slots, and against refusals with a time at which all targets still rest.
+func TestRefusalsOfRestingTargets(t *testing.T) {
+	const rest = 3 // seconds
+	resting := func() sendResult {
+		result := statusResult(http.StatusServiceUnavailable, "Not-Run")
+		result.resp.Header.Set("Rest", strconv.Itoa(rest)+"s")
+		return result
+	}
+	r := newTestGate(t, snipetable.NonIdempotent, resting(), successResult("x"), successResult("x"), resting(), resting())
+	r.gate.HeaderCodec = loadDialect{load: &snipeplacement.Load{Slots: 4}}
+	call := func() (code int, retryAfter float64) {
+		w := r.call(http.MethodPost, "/", "")
+		retryAfter, _ = strconv.ParseFloat(w.Header().Get("Retry-After"), 64)
+		return w.Code, retryAfter
+	}
+	for range 2 {
+		if code, _ := call(); code != http.StatusOK {
+			t.Fatalf("status %d while only one target rests", code)
+		}
+	}
+	code, retryAfter := call()
+	for _, sent := range r.sender.sent[1:] {
+		if sent.Address == r.sender.sent[0].Address {
+			t.Errorf("a request was sent to %s, which rests", sent.Address)
+		}
+	}
+	const margin = 0.5 // seconds
+	if code != http.StatusServiceUnavailable || retryAfter < rest-margin {
+		t.Errorf("status %d, retry after %.1f s when the last targets begin to rest for %d s", code, retryAfter, rest)
+	}
+	sends := len(r.sender.sent)
+	if code, retryAfter = call(); code != http.StatusServiceUnavailable || retryAfter < rest-margin || len(r.sender.sent) != sends {
+		t.Errorf("status %d, retry after %.1f s, %d sends while all targets rest", code, retryAfter, len(r.sender.sent)-sends)
+	}
+}
--- a/snipeplacement/chooser.go
+++ b/snipeplacement/chooser.go
@@ -27,14 +27,19 @@
 	// ReasonLimited means that this front has used up its part of the rate limit of the
 	// last remaining target.
 	ReasonLimited Reason = "targetsLimited"
+	// ReasonResting means that the last remaining target wants no requests from this front,
+	// or that this front returns to it slowly after such a time.
+	ReasonResting Reason = "targetsResting"
+	// ReasonLeft means that the target that was chosen is no longer in use.
+	ReasonLeft Reason = "targetLeft"
 	// ReasonSuspect means that the last remaining target is excluded after failures.
 	ReasonSuspect Reason = "targetsSuspect"
 )
 
 // Refusal is the refusal of a request.
 type Refusal struct {
-	// Reason is ReasonFull if any target was full, and otherwise the reason at the
-	// target that was evaluated last.
+	// Reason is ReasonFull if any target was full, ReasonResting if all targets rest, and
+	// otherwise the reason at the last target that does not rest.
 	Reason Reason
 	// RetryAfter is the delay after which the caller should retry.
 	RetryAfter time.Duration
@@ -129,7 +134,7 @@
 func (c *Chooser) meanServiceTime(targets []*snipefleet.Target) time.Duration {
 	sum, n := time.Duration(0), 0
 	for _, t := range targets {
-		if s := c.states[t.ID]; s != nil && s.born == t.Born {
+		if s := c.known(t); s != nil {
 			sum += s.serviceTime
 			n++
 		}
@@ -166,16 +171,18 @@
 func (c *Chooser) RecordResult(now snipetime.Instant, t *snipefleet.Target, r Result) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.state(t).recordResult(now, r)
+	if s := c.known(t); s != nil {
+		s.recordResult(now, r)
+	}
 }
 
-// Forget deletes the state of targets for whose ID known returns false and that have
-// no request in flight.
-func (c *Chooser) Forget(known func(id string) bool) {
+// Forget deletes the state of targets for whose ID known returns false and that have no
+// request in flight. That of a target that rests is kept, since its entry may return.
+func (c *Chooser) Forget(now snipetime.Instant, known func(id string) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for id, s := range c.states {
-		if s.inFlight == 0 && !known(id) {
+		if s.inFlight == 0 && s.rest.over(now) && !known(id) {
 			delete(c.states, id)
 		}
 	}
@@ -207,12 +214,20 @@
 	}
 }
 
+// known returns the state of a target, or nil if there is none for its incarnation.
+func (c *Chooser) known(t *snipefleet.Target) *targetState {
+	if s := c.states[t.ID]; s != nil && s.born == t.Born {
+		return s
+	}
+	return nil
+}
+
 // state returns the state of a target, which begins anew with each incarnation.
 func (c *Chooser) state(t *snipefleet.Target) *targetState {
-	s := c.states[t.ID]
-	if s == nil || s.born != t.Born {
-		s = &targetState{born: t.Born, serviceTime: defaultServiceTime}
-		c.states[t.ID] = s
+	if s := c.known(t); s != nil {
+		return s
 	}
+	s := &targetState{born: t.Born, serviceTime: defaultServiceTime}
+	c.states[t.ID] = s
 	return s
 }
--- a/snipeplacement/selection.go
+++ b/snipeplacement/selection.go
@@ -93,6 +93,11 @@
 func (s *selection) evaluate(t *snipefleet.Target) Candidate {
 	state := s.chooser.state(t)
 	candidate := Candidate{Target: t, Load: state.estimatedLoad(s.now), LoadAge: s.now.Sub(state.reportedAt)}
+	if left, resting := s.resting(t, state); resting {
+		candidate.SkipReason = ReasonResting
+		s.refusal.merge(ReasonResting, left)
+		return candidate
+	}
 	if state.suspect(s.now) {
 		candidate.SkipReason = ReasonSuspect
 		s.refusal.merge(ReasonSuspect, noTargetRetryDelay)
@@ -122,6 +127,20 @@
 	return candidate
 }
 
+// resting reports whether a target wants no requests from this front, or no more than it
+// has in flight while it returns, and the expected time until the target takes one.
+func (s *selection) resting(t *snipefleet.Target, state *targetState) (left time.Duration, resting bool) {
+	left = s.chooser.restRemaining(s.now, s.view, t, state)
+	switch {
+	case left > 0:
+		return left, true
+	case s.chooser.returning(s.now, s.view, t, state):
+		return state.interval(t), true
+	default:
+		return 0, false
+	}
+}
+
 // admitsLimit reports whether the rate limit of a target, if it states one, admits the
 // request. It is asked for targetsPerObject targets at most, so that objects do not
 // occupy the caches of many limited targets.
@@ -166,13 +185,14 @@
 }
 
 // merge adds the reason and the delay at another target: of the same reason, the
-// shortest delay counts; ReasonFull is kept; any other reason is replaced.
+// shortest delay counts; ReasonFull is kept, and ReasonResting replaces no other reason
+// of a target; any other reason is replaced.
 func (r *Refusal) merge(reason Reason, delay time.Duration) {
 	if r.Reason == reason {
 		r.RetryAfter = min(r.RetryAfter, delay)
 		return
 	}
-	if r.Reason == ReasonFull {
+	if r.Reason == ReasonFull || reason == ReasonResting && r.Reason != ReasonNoTarget {
 		return
 	}
 	r.Reason, r.RetryAfter = reason, delay
--- a/snipeplacement/state.go
+++ b/snipeplacement/state.go
@@ -50,6 +50,7 @@
 	// nextRetryAt is the earliest retry time for the next refused caller.
 	slotInterval time.Duration
 	nextRetryAt  snipetime.Instant
+	rest         rest
 }
 
 // estimatedLoad returns the estimated number of requests at the target: those of
@@ -60,10 +61,15 @@
 	return float64(s.inFlight) + s.othersLoad*math.Exp(-age.Seconds()/othersDecayTime.Seconds())
 }
 
+// interval returns the expected time between two requests that end at t.
+func (s *targetState) interval(t *snipefleet.Target) time.Duration {
+	return time.Duration(float64(s.serviceTime) / float64(max(t.Slots, 1)))
+}
+
 // slotFreeAt returns the expected time at which n more requests will have ended at t,
 // but not before nextRetryAt. It updates slotInterval.
 func (s *targetState) slotFreeAt(now snipetime.Instant, t *snipefleet.Target, n float64) snipetime.Instant {
-	s.slotInterval = time.Duration(float64(s.serviceTime) / float64(max(t.Slots, 1)))
+	s.slotInterval = s.interval(t)
 	return max(now.Add(time.Duration(n*float64(s.slotInterval))), s.nextRetryAt)
 }
 
