snipegate, snipeconn: a request is confirmed once its connection is open

Cause: the choice of a target was not looked at again, and context.WithoutCancel held from the choice on instead of from the first byte written.

snipeconn calls Request.Confirm when it has opened a connection, before anything is written; the connection stays for other requests. The gate asks the chooser again (left, at rest) and whether the caller is there; a withdrawn attempt reached no target and does not count as one.

TestChangeDuringDial fails without the change in all cases but the last (12 of 15) and passes with it. TestUnconfirmed is new.

--- a/snipeconn/conn_test.go
+++ b/snipeconn/conn_test.go
@@ -11,6 +11,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -171,6 +172,34 @@
 	}
 }
 
+// TestUnconfirmed guards against a request that is written although it must not be sent
+// any more when its connection is open, and against the loss of that connection.
+func TestUnconfirmed(t *testing.T) {
+	var requests atomic.Int32
+	address := startTarget(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			id, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			requests.Add(1)
+			_, _ = io.WriteString(c, okResponse(id, "x"))
+		}
+	})
+	pools := New(Settings{})
+	withdrawn := newRequest(address, "1", time.Second)
+	withdrawn.Confirm = func() error { return errors.New("not any more") }
+	_, err := pools.Send(context.Background(), withdrawn)
+	var f *Error
+	if !errors.As(err, &f) || f.MayHaveBegun || f.Cause != CauseWithdrawn || requests.Load() != 0 {
+		t.Fatalf("error %v after %d requests, want withdrawn, not begun", err, requests.Load())
+	}
+	resp, err := pools.Send(context.Background(), newRequest(address, "2", time.Second))
+	if err != nil || !resp.Reused {
+		t.Errorf("response %+v, error %v, want one over the connection that was opened", resp, err)
+	}
+}
+
 // TestHeadOfBrokenResponse guards against losing what a target states in the head of a
 // response that then breaks off.
 func TestHeadOfBrokenResponse(t *testing.T) {
--- a/snipeconn/errors.go
+++ b/snipeconn/errors.go
@@ -12,6 +12,8 @@
 const (
 	// CauseDial means that no connection could be opened.
 	CauseDial Cause = "dialFailed"
+	// CauseWithdrawn means that Request.Confirm returned an error.
+	CauseWithdrawn Cause = "withdrawn"
 	// CauseConnectionLost means that the connection broke before the response
 	// was complete.
 	CauseConnectionLost Cause = "connectionLost"
--- a/snipeconn/exchange.go
+++ b/snipeconn/exchange.go
@@ -32,6 +32,10 @@
 			return nil, dialError(ctx, err)
 		}
 		c = dialed
+		if err := r.confirm(); err != nil {
+			p.putIdle(c, time.Now(), 0)
+			return nil, &Error{Cause: CauseWithdrawn, Err: err}
+		}
 	}
 	e := &exchange{pools: p, conn: c, request: r, ctx: ctx}
 	resp, err := e.run()
--- a/snipeconn/request.go
+++ b/snipeconn/request.go
@@ -29,6 +29,17 @@
 	IDHeader, ID string
 	// Deadline bounds the whole exchange, including the body of the response.
 	Deadline time.Time
+	// Confirm is called after a connection was opened for the request and before anything
+	// is written to it. If it returns an error, the request is not sent. It may be nil.
+	Confirm func() error
+}
+
+// confirm calls Confirm, if there is one.
+func (r *Request) confirm() error {
+	if r.Confirm == nil {
+		return nil
+	}
+	return r.Confirm()
 }
 
 // Field is one header field. The value is sent without escaping.
--- a/snipegate/attempts.go
+++ b/snipegate/attempts.go
@@ -167,6 +167,7 @@
 		Overrides: q.gate.HeaderCodec.TargetHeaders(time.Until(q.deadline), t.ID),
 		Body:      q.body, HasBody: q.r.ContentLength != 0 || q.r.Header.Get("Content-Length") != "",
 		IDHeader: q.gate.HeaderCodec.IDHeader(), ID: q.call.ID, Deadline: q.deadline,
+		Confirm: func() error { return q.confirm(t) },
 	})
 	if err != nil {
 		return q.handleFailure(t, sent, err)
@@ -185,6 +186,8 @@
 	}
 	result := snipeplacement.Result{Latency: time.Since(sent)}
 	switch failure.Cause {
+	case snipeconn.CauseWithdrawn:
+		q.withdrawAttempt(err)
 	case snipeconn.CauseDial:
 		q.outcome, result.Unreachable = OutcomeUnreachable, true
 	case snipeconn.CauseTimeout:
--- a/snipegate/gate.go
+++ b/snipegate/gate.go
@@ -46,6 +46,9 @@
 type Chooser interface {
 	Choose(now snipetime.Instant, v *snipefleet.View, q *snipeplacement.Query) (snipeplacement.Candidate, *snipeplacement.Refusal)
 	RecordResult(now snipetime.Instant, t *snipefleet.Target, r snipeplacement.Result)
+	// Recheck returns why a request for which t was chosen must not be sent to it any more,
+	// or an empty reason.
+	Recheck(now snipetime.Instant, v *snipefleet.View, t *snipefleet.Target) snipeplacement.Reason
 	// RecordRest records how long t wants no requests, and reports whether it did not rest
 	// before. RecordUnreadableRest reports whether it is the first
 	// statement that cannot be read.
--- a/snipegate/statements_test.go
+++ b/snipegate/statements_test.go
@@ -1,11 +1,15 @@
 package snipegate
 
 import (
+	"context"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"testing"
+	"time"
 
 	"github.com/snipemoor/snipemoor/snipeconn"
+	"github.com/snipemoor/snipemoor/snipefleet"
 	"github.com/snipemoor/snipemoor/snipeplacement"
 	"github.com/snipemoor/snipemoor/snipetable"
 )
@@ -52,6 +56,72 @@
 	})
 }
 
+// dialingSender is a Sender that opens a connection for each request. The first time,
+// meanwhile is called before the connection is open.
+type dialingSender struct {
+	scriptedSender
+	meanwhile func(r *snipeconn.Request)
+}
+
+func (s *dialingSender) Send(ctx context.Context, r *snipeconn.Request) (*snipeconn.Response, error) {
+	if s.meanwhile != nil {
+		meanwhile := s.meanwhile
+		s.meanwhile = nil
+		meanwhile(r)
+	}
+	if r.Confirm != nil {
+		if err := r.Confirm(); err != nil {
+			return nil, &snipeconn.Error{Cause: snipeconn.CauseWithdrawn, Err: err}
+		}
+	}
+	return s.scriptedSender.Send(ctx, r)
+}
+
+// TestChangeDuringDial guards against a request that is sent to its target although the
+// target leaves or rests, or to any although the caller disconnects, while the connection
+// is opened.
+func TestChangeDuringDial(t *testing.T) {
+	for name, tc := range map[string]struct {
+		meanwhile func(r *testGate, t *snipefleet.Target, disconnect func())
+		sends     int
+		outcome   int
+	}{
+		"target states that it leaves": {func(r *testGate, t *snipefleet.Target, _ func()) { r.fleet.MarkLeaving(t) }, 1, http.StatusOK},
+		"entry is removed":             {func(r *testGate, t *snipefleet.Target, _ func()) { r.fleet.RemoveTarget(r.gate.Clock.Now(), t.ID) }, 1, http.StatusOK},
+		"target asks for rest": {func(r *testGate, t *snipefleet.Target, _ func()) {
+			r.gate.Chooser.RecordRest(r.gate.Clock.Now(), t, time.Minute)
+		}, 1, http.StatusOK},
+		"caller disconnects": {func(_ *testGate, _ *snipefleet.Target, disconnect func()) { disconnect() }, 0, http.StatusServiceUnavailable},
+		"nothing":            {func(*testGate, *snipefleet.Target, func()) {}, 1, http.StatusOK},
+	} {
+		for _, kind := range []snipetable.Kind{snipetable.Idempotent, snipetable.NonIdempotent, snipetable.Upload} {
+			t.Run(name+"/"+kind.String(), func(t *testing.T) {
+				r := newTestGate(t, kind)
+				ctx, disconnect := context.WithCancel(context.Background())
+				defer disconnect()
+				avoided := ""
+				sender := &dialingSender{meanwhile: func(sent *snipeconn.Request) {
+					avoided = sent.Address
+					tc.meanwhile(r, r.fleet.View().Target("s", sent.Address), disconnect)
+				}}
+				sender.results = []sendResult{successResult("x")}
+				r.gate.Sender = sender
+				req := httptest.NewRequestWithContext(ctx, http.MethodPost, "/", nil)
+				req.Host = "h"
+				req.Header.Set("Id", "1")
+				w := httptest.NewRecorder()
+				r.gate.ServeHTTP(w, req)
+				if w.Code != tc.outcome || len(sender.sent) != tc.sends {
+					t.Errorf("status %d after %d sends, want %d after %d", w.Code, len(sender.sent), tc.outcome, tc.sends)
+				}
+				if name != "nothing" && len(sender.sent) > 0 && sender.sent[0].Address == avoided {
+					t.Error("the request was sent to the target")
+				}
+			})
+		}
+	}
+}
+
 // TestRefusalsOfRestingTargets guards against requests to a target that rests although it
 // has free slots, and against refusals with a time at which all targets still rest.
 func TestRefusalsOfRestingTargets(t *testing.T) {
