snipecaller, snipegate: requests of callers that left before they were read are not sent

From the users' record on GONE: an idempotent request reached a target 0.66 s after its caller's deadline of 0.75 s, so the front read it, or sent it, long after the caller had left. Cause (hypothesis 4): when a front reads late, the request and the end of the connection arrive together. The handler runs before net/http's next read finds the end, and sends the request. Only the context was asked, which that read cancels. Class of fault: a state that is learned by an event is taken as current before the event can have happened. Ruled out for idempotent requests: hypothesis 5, the wait for a connection, which is cancelled.

Before each attempt and once a connection is open, the gate now looks at the caller's socket (recv with MSG_PEEK, which waits for nothing). The limit of connections moved into snipecaller.Listen, because netutil's wrapper hides the socket. Callers that close only their sending side count as gone, as they already did for net/http.

--- a/snipecaller/conn.go
+++ b/snipecaller/conn.go
@@ -6,23 +6,51 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
+
+	"golang.org/x/net/netutil"
 )
 
 // maxReadAheadBytes bounds the bytes that are read ahead of net/http. Once a caller
 // has sent more, its disconnecting is not noticed until net/http reads them.
 const maxReadAheadBytes = 16 << 10
 
-// listener wraps the connections that it accepts.
+// listener wraps the connections that it accepts. Accept must not be called
+// concurrently.
 type listener struct {
 	net.Listener
+	// accepted is the listener below Listener. It has the socket of the connection that
+	// Listener returned last.
+	accepted   *socketListener
 	startEarly EarlyStarter
 }
 
+// socketListener keeps the socket of the connection that it accepted last.
+type socketListener struct {
+	net.Listener
+	socket syscall.Conn
+}
+
+// Accept implements net.Listener.
+func (l *socketListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	l.socket, _ = c.(syscall.Conn)
+	return c, err //nolint:wrapcheck // net/http retries after a net.Error that is temporary
+}
+
 // Listen returns a listener that wraps the connections of l, which read ahead when
-// a caller pipelines requests. startEarly may start responses to pipelined requests
+// a caller pipelines requests. At most maxConns of them are open, unless it is 0;
+// further ones wait to be accepted. startEarly may start responses to pipelined requests
 // before net/http serves them; nil starts none. The http.Server needs Context as
 // its ConnContext.
-func Listen(l net.Listener, startEarly EarlyStarter) net.Listener { return listener{l, startEarly} }
+func Listen(l net.Listener, maxConns int, startEarly EarlyStarter) net.Listener {
+	accepted := &socketListener{Listener: l}
+	l = accepted
+	if maxConns > 0 {
+		l = netutil.LimitListener(l, maxConns)
+	}
+	return listener{Listener: l, accepted: accepted, startEarly: startEarly}
+}
 
 // Accept implements net.Listener.
 func (l listener) Accept() (net.Conn, error) {
@@ -30,12 +58,16 @@
 	if err != nil {
 		return nil, err //nolint:wrapcheck // net/http retries after a net.Error that is temporary
 	}
-	return newConn(raw, l.startEarly), nil
+	c := newConn(raw, l.startEarly)
+	c.socket = l.accepted.socket
+	return c, nil
 }
 
 // conn is one connection of a caller.
 type conn struct {
 	net.Conn
+	// socket is the socket of the connection, or nil.
+	socket     syscall.Conn
 	startEarly EarlyStarter
 	// ctx is the context of its requests, and cancel ends it once the caller has
 	// closed the connection.
--- a/snipecaller/conn_test.go
+++ b/snipecaller/conn_test.go
@@ -36,7 +36,7 @@
 	}
 	server := &http.Server{Handler: h, ConnContext: Context, ReadHeaderTimeout: wait}
 	ended := make(chan error, 1)
-	go func() { ended <- server.Serve(Listen(l, startEarly)) }()
+	go func() { ended <- server.Serve(Listen(l, 0, startEarly)) }()
 	t.Cleanup(func() {
 		_ = server.Close()
 		<-ended //nolint:errcheck // the error is that of the close
@@ -82,7 +82,7 @@
 	}
 	server := &http.Server{ConnContext: Context, ReadHeaderTimeout: wait, ErrorLog: log.New(io.Discard, "", 0)}
 	ended := make(chan error, 1)
-	go func() { ended <- server.Serve(Listen(&failingListener{Listener: l}, nil)) }()
+	go func() { ended <- server.Serve(Listen(&failingListener{Listener: l}, 0, nil)) }()
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: wait}
 	resp, err := client.Get("http://" + l.Addr().String())
 	if err != nil {
--- a/snipefront/callers.go
+++ b/snipefront/callers.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"go.uber.org/zap"
-	"golang.org/x/net/netutil"
 
 	"github.com/snipemoor/snipemoor/snipecaller"
 	"github.com/snipemoor/snipemoor/snipegate"
@@ -78,13 +77,11 @@
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
-	if settings.MaxDescriptors > 0 {
-		l = netutil.LimitListener(l, int(callerDescriptorShare*float64(settings.MaxDescriptors)))
-	}
+	maxConns := int(callerDescriptorShare * float64(settings.MaxDescriptors))
 	server := newCallersServer(f.tables.Current().Limits(), f.gate)
 	server.ErrorLog = zap.NewStdLog(f.log)
 	served := make(chan error, 1)
-	go func() { served <- server.Serve(snipecaller.Listen(l, f.gate.ServePipelined)) }()
+	go func() { served <- server.Serve(snipecaller.Listen(l, maxConns, f.gate.ServePipelined)) }()
 	f.book.accepting.Store(true)
 	announced := make(chan struct{})
 	announceCtx, withdraw := context.WithCancel(context.Background())
--- a/snipegate/attempts.go
+++ b/snipegate/attempts.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/snipemoor/snipemoor/snipecaller"
 	"github.com/snipemoor/snipemoor/snipeconn"
 	"github.com/snipemoor/snipemoor/snipefleet"
 	"github.com/snipemoor/snipemoor/snipeplacement"
@@ -36,8 +37,8 @@
 // refuses the request if no target is available, or if it must not be retried.
 func (q *request) runAttempts() {
 	for {
-		if err := q.r.Context().Err(); err != nil {
-			q.cause = err
+		if snipecaller.Disconnected(q.r) {
+			q.cause = errCallerGone
 			q.refuse(OutcomeCallerGone, 0)
 			return
 		}
--- a/snipegate/confirm.go
+++ b/snipegate/confirm.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 
+	"github.com/snipemoor/snipemoor/snipecaller"
 	"github.com/snipemoor/snipemoor/snipefleet"
 	"github.com/snipemoor/snipemoor/snipeplacement"
 )
@@ -17,11 +18,14 @@
 // Error implements error.
 func (e *unavailableError) Error() string { return fmt.Sprintf("target %s: %s", e.target, e.reason) }
 
+// errCallerGone means that the caller has closed its connection.
+var errCallerGone = errors.New("caller has disconnected")
+
 // confirm returns an error if the request must not be sent to t any more, because since t
 // was chosen the caller has disconnected or t has become unavailable.
 func (q *request) confirm(t *snipefleet.Target) error {
-	if err := q.r.Context().Err(); err != nil {
-		return fmt.Errorf("caller disconnected: %w", err)
+	if snipecaller.Disconnected(q.r) {
+		return errCallerGone
 	}
 	if reason := q.gate.Chooser.Recheck(q.gate.Clock.Now(), q.gate.Fleet.View(), t); reason != "" {
 		return &unavailableError{t.ID, reason}
--- a/snipegate/pipeline_test.go
+++ b/snipegate/pipeline_test.go
@@ -67,7 +67,7 @@
 	}
 	server := httptest.NewUnstartedServer(r.gate)
 	_ = server.Listener.Close()
-	server.Listener = snipecaller.Listen(l, r.gate.ServePipelined)
+	server.Listener = snipecaller.Listen(l, 0, r.gate.ServePipelined)
 	server.Config.ConnContext = snipecaller.Context
 	server.Start()
 	t.Cleanup(server.Close)
