snipegate, snipeconn: a request is not repeated over the connection that refused it

If the target sends its refusal twice, as targets in trouble do, a late duplicate carries the identifier of this very request and is taken for the second response. The caller gets 503 while the target runs the request. Ruled out so far: errors of snipeconn that call a written request not begun (by reading).

The second attempt now takes another kept connection or opens one.

--- a/snipeconn/conn_test.go
+++ b/snipeconn/conn_test.go
@@ -261,7 +261,7 @@
 		t.Fatal(err)
 	}
 	resp.Close()
-	if c := p.takeIdle(address, time.Now()); c != nil {
+	if c := p.takeIdle(address, "", time.Now()); c != nil {
 		t.Error("the connection was kept for reuse")
 	}
 }
--- a/snipeconn/exchange.go
+++ b/snipeconn/exchange.go
@@ -24,7 +24,7 @@
 	if err := ctx.Err(); err != nil {
 		return nil, &Error{Cause: CauseCancelled, Err: err}
 	}
-	c := p.takeIdle(r.Address, now)
+	c := p.takeIdle(r.Address, r.Avoid, now)
 	reused := c != nil
 	if c == nil {
 		dialed, err := p.dial(ctx, r.Address)
--- a/snipeconn/pool.go
+++ b/snipeconn/pool.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -102,18 +103,13 @@
 
 // takeIdle removes and returns the most recently used idle connection that the
 // target has neither closed nor written to, or returns nil. It closes the
-// unusable ones that it meets.
-func (p *Pools) takeIdle(address string, now time.Time) *conn {
+// unusable ones that it meets. The connection with the local address avoid is left.
+func (p *Pools) takeIdle(address, avoid string, now time.Time) *conn {
 	for {
-		p.mu.Lock()
-		list := p.idle[address]
-		if len(list) == 0 {
-			p.mu.Unlock()
+		c := p.removeIdle(address, avoid)
+		if c == nil {
 			return nil
 		}
-		c := list[len(list)-1]
-		p.idle[address] = list[:len(list)-1]
-		p.mu.Unlock()
 		if now.Before(c.expires) && openWithoutData(c.Conn) {
 			p.mu.Lock()
 			p.reused++
@@ -124,6 +120,24 @@
 	}
 }
 
+// removeIdle removes and returns the most recently used idle connection, except the one
+// with the local address avoid, or returns nil.
+func (p *Pools) removeIdle(address, avoid string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	at := len(list) - 1
+	if at >= 0 && avoid != "" && list[at].LocalAddr().String() == avoid {
+		at--
+	}
+	if at < 0 {
+		return nil
+	}
+	c := list[at]
+	p.idle[address] = slices.Delete(list, at, at+1)
+	return c
+}
+
 // discard closes a connection that is not reused. Nothing depends on an error of
 // the close, so it is ignored.
 func (c *conn) discard() { _ = c.Close() }
--- a/snipeconn/response.go
+++ b/snipeconn/response.go
@@ -27,9 +27,19 @@
 	// Reused reports whether the request was sent on a reused connection.
 	Reused bool
 
+	conn   *conn
 	finish func()
 }
 
+// LocalAddr returns the local address of the connection over which the response came, as
+// the target sees it, or an empty string if it is not known.
+func (r *Response) LocalAddr() string {
+	if r.conn == nil {
+		return ""
+	}
+	return r.conn.LocalAddr().String()
+}
+
 // Close releases the connection and the memory of the response. The connection
 // of a response that was not buffered completely is closed, not reused.
 func (r *Response) Close() {
@@ -140,7 +150,7 @@
 // buffered until it is complete if there is memory for it; any other body is
 // streamed through Response.Stream.
 func (e *exchange) readBody(resp *http.Response) (*Response, error) {
-	out := &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength}
+	out := &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, conn: e.conn}
 	if resp.Body == http.NoBody {
 		// A response to HEAD declares the length of a body that is not sent.
 		e.recycleConn(resp)
--- a/snipegate/attempts.go
+++ b/snipegate/attempts.go
@@ -168,7 +168,7 @@
 		Overrides: q.gate.HeaderCodec.TargetHeaders(time.Until(q.deadline), t.ID),
 		Body:      q.body, HasBody: q.r.ContentLength != 0 || q.r.Header.Get("Content-Length") != "",
 		IDHeader: q.gate.HeaderCodec.IDHeader(), ID: q.call.ID, Deadline: q.deadline,
-		Confirm: func() error { return q.confirm(t) },
+		Avoid: q.refusedOver, Confirm: func() error { return q.confirm(t) },
 	})
 	if err != nil {
 		return q.handleFailure(t, sent, err)
@@ -228,6 +228,7 @@
 		q.outcome = OutcomeTargetRefused
 		return notRun
 	case s.NotRun:
+		q.refusedOver = resp.LocalAddr()
 		q.outcome, q.retryDelay = OutcomeTargetRefused, fullTargetRetryDelay
 		if hasFreeSlot(s.Load) && s.Rest == 0 {
 			// The refusal is temporary, since the target has a free slot: it
--- a/snipegate/gate.go
+++ b/snipegate/gate.go
@@ -259,6 +259,9 @@
 	// refusal is set if no target was available.
 	chosen  snipeplacement.Candidate
 	refusal *snipeplacement.Refusal
+	// refusedOver is the local address of the connection over which a target last refused
+	// the request.
+	refusedOver string
 	// retryDelay is the delay before a retry by the caller that the last refusal of a
 	// target implies; zero means none.
 	retryDelay time.Duration
--- a/snipegate/statements_test.go
+++ b/snipegate/statements_test.go
@@ -1,10 +1,15 @@
 package snipegate
 
 import (
+	"bufio"
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -122,6 +127,74 @@
 	}
 }
 
+// TestDuplicateRefusal guards against a refusal with the promise that a request has not
+// run, although it ran in a second attempt at the same target: a duplicate of the target's
+// first response, which has the same request ID, is then taken for the second.
+func TestDuplicateRefusal(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	var ran atomic.Int32
+	target := startTarget(t, func(c net.Conn, r *bufio.Reader, n int) {
+		if n == 0 {
+			_, _ = io.WriteString(c, refusal)
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			// The duplicate leaves once the next request is there, as one that was late does.
+			_, _ = io.WriteString(c, refusal)
+		}
+		ran.Add(1)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\nSigned: 1\r\nContent-Length: 1\r\n\r\nx")
+	})
+	r := newTestGate(t, snipetable.NonIdempotent)
+	now := r.gate.Clock.Now()
+	for _, id := range []string{"a", "b", "c"} {
+		r.fleet.RemoveTarget(now, id)
+	}
+	r.fleet.UpdateTarget(now, snipefleet.TargetReport{ID: "d", Service: "s", Address: target, Slots: 4, Born: 1})
+	pools := snipeconn.New(snipeconn.Settings{})
+	t.Cleanup(func() { pools.CloseExpired(time.Now(), func(string) bool { return false }) })
+	r.gate.Sender = pools
+	r.gate.HeaderCodec = loadDialect{load: &snipeplacement.Load{Slots: 4}}
+	w := r.call(http.MethodPost, "/", "")
+	if ran.Load() > 0 && w.Code == http.StatusServiceUnavailable {
+		t.Errorf("status %d although the request ran", w.Code)
+	}
+	if w.Code != http.StatusOK {
+		t.Errorf("status %d, want that of the second attempt", w.Code)
+	}
+}
+
+// startTarget starts a target that reads a request on each connection and then calls
+// serve with the number of the connection, and returns its address.
+func startTarget(t *testing.T, serve func(c net.Conn, r *bufio.Reader, n int)) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var wg sync.WaitGroup
+	t.Cleanup(func() {
+		_ = l.Close()
+		wg.Wait()
+	})
+	wg.Go(func() {
+		for n := 0; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			wg.Go(func() {
+				defer func() { _ = c.Close() }()
+				r := bufio.NewReader(c)
+				if _, err := http.ReadRequest(r); err == nil {
+					serve(c, r, n)
+				}
+			})
+		}
+	})
+	return l.Addr().String()
+}
+
 // TestRefusalsOfRestingTargets guards against requests to a target that rests although it
 // has free slots, and against refusals with a time at which all targets still rest.
 func TestRefusalsOfRestingTargets(t *testing.T) {
