snipeconn: a response without an identifier on a reused connection is an error

A target that responds twice can send the second response late, when the next request is on its way.

On a connection that is used for the first time such a response can only belong to its request and is accepted as before. TestResponseWithoutID failed before.

--- a/snipeconn/conn_test.go
+++ b/snipeconn/conn_test.go
@@ -172,6 +172,34 @@
 	}
 }
 
+// TestResponseWithoutID guards against a late response to an earlier request on the
+// connection that is taken for that to the next one because it has no identifier.
+func TestResponseWithoutID(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+	address := startTarget(t, func(c net.Conn, r *bufio.Reader) {
+		for n := 0; ; n++ {
+			id, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			if n > 0 {
+				_, _ = io.WriteString(c, refusal)
+			}
+			_, _ = io.WriteString(c, okResponse(id, "x"))
+		}
+	})
+	pools := New(Settings{})
+	t.Cleanup(func() { pools.closeIdle(address) })
+	if _, err := pools.Send(context.Background(), newRequest(address, "1", time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := pools.Send(context.Background(), newRequest(address, "2", time.Second))
+	var f *Error
+	if !errors.As(err, &f) || !f.MayHaveBegun {
+		t.Errorf("response %+v, error %v, want an error after which the request may have begun", resp, err)
+	}
+}
+
 // TestUnconfirmed guards against a request that is written although it must not be sent
 // any more when its connection is open, and against the loss of that connection.
 func TestUnconfirmed(t *testing.T) {
--- a/snipeconn/exchange.go
+++ b/snipeconn/exchange.go
@@ -37,7 +37,7 @@
 			return nil, &Error{Cause: CauseWithdrawn, Err: err}
 		}
 	}
-	e := &exchange{pools: p, conn: c, request: r, ctx: ctx}
+	e := &exchange{pools: p, conn: c, reused: reused, request: r, ctx: ctx}
 	resp, err := e.run()
 	if err != nil {
 		e.stopWatching()
@@ -67,6 +67,7 @@
 type exchange struct {
 	pools   *Pools
 	conn    *conn
+	reused  bool
 	request *Request
 	ctx     context.Context
 	// stopAfterFunc is the stop function of context.AfterFunc.
--- a/snipeconn/response.go
+++ b/snipeconn/response.go
@@ -57,6 +57,7 @@
 	errTooLong        = errors.New("response exceeds its size limit")
 	errTooManySkipped = errors.New("too many interim responses and responses to other requests")
 	errSwitching      = errors.New("target switches protocols (status 101), which is not supported")
+	errUnidentified   = errors.New("response without an identifier on a reused connection")
 	errNotHTTP        = errors.New("received bytes are not an HTTP/1.x response")
 )
 
@@ -90,7 +91,8 @@
 }
 
 // readResponse returns the first final response that does not carry the
-// identifier of another request.
+// identifier of another request. On a reused connection, a response without an
+// identifier may be a late one to an earlier request, and is an error.
 func (e *exchange) readResponse() (*Response, error) {
 	for range maxSkippedResponses {
 		resp, err := e.readHead() //nolint:bodyclose // closing would drain a long body; the connection is closed instead
@@ -103,7 +105,11 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		if id := resp.Header.Get(e.request.IDHeader); id != "" && id != e.request.ID {
+		id := resp.Header.Get(e.request.IDHeader)
+		if id == "" && e.reused && e.request.IDHeader != "" {
+			return nil, errUnidentified
+		}
+		if id != "" && id != e.request.ID {
 			if err := e.discardBody(resp); err != nil {
 				return nil, fmt.Errorf("skip response to another request: %w", err)
 			}
