snipegate: the log says on what the promise rests that a request has not run

The users' report on REFUSED came without logs, and the line of a refused request did not tell a request that was offered to no target from one that a target refused. It now lists the attempts: nothing was written, the target stated it (status, local address of the connection, as the target sees it) or another target has the address.

--- a/snipegate/attempts.go
+++ b/snipegate/attempts.go
@@ -206,6 +206,7 @@
 	if failure.MayHaveBegun {
 		return mayHaveRun
 	}
+	q.recordNotRun(t, reasonNotSent, "", 0)
 	return notSent
 }
 
@@ -225,10 +226,12 @@
 	switch {
 	case s.WrongTarget:
 		q.gate.Fleet.MarkMisaddressed(t)
+		q.recordNotRun(t, reasonMisaddressed, resp.LocalAddr(), resp.Status)
 		q.outcome = OutcomeTargetRefused
 		return notRun
 	case s.NotRun:
 		q.refusedOver = resp.LocalAddr()
+		q.recordNotRun(t, reasonStated, q.refusedOver, resp.Status)
 		q.outcome, q.retryDelay = OutcomeTargetRefused, fullTargetRetryDelay
 		if hasFreeSlot(s.Load) && s.Rest == 0 {
 			// The refusal is temporary, since the target has a free slot: it
--- a/snipegate/gate.go
+++ b/snipegate/gate.go
@@ -183,6 +183,9 @@
 	if q.status == http.StatusServiceUnavailable {
 		fields = append(fields, zap.Duration("retryAfter", q.retryAfter))
 	}
+	if impliesNotRun(q.status) && q.route != nil {
+		fields = append(fields, zap.Array("notRun", q.notRun))
+	}
 	if q.refusal != nil {
 		fields = append(fields, zap.Array("looks", loggedCandidates(q.refusal.Candidates)))
 	}
@@ -259,6 +262,8 @@
 	// refusal is set if no target was available.
 	chosen  snipeplacement.Candidate
 	refusal *snipeplacement.Refusal
+	// notRun are the attempts that have not run.
+	notRun notRunAttempts
 	// refusedOver is the local address of the connection over which a target last refused
 	// the request.
 	refusedOver string
