snipequota: a late statement of an earlier incarnation does not replace a later one's

Its statement replaced the state of the new incarnation, whose limit then did not hold until its next response. The new step of TestStatements failed before (no limit in force, want 3/s).

--- a/snipequota/table.go
+++ b/snipequota/table.go
@@ -102,7 +102,9 @@
 		if !s.Limited {
 			return Statement{}, false
 		}
-		q = t.addQuota(target)
+		if q = t.addQuota(target); q == nil {
+			return Statement{}, false
+		}
 	}
 	if s.At.Before(q.statement.At) {
 		return q.noted, false
@@ -130,7 +132,9 @@
 	defer t.mu.Unlock()
 	q := t.quota(target)
 	if q == nil {
-		q = t.addQuota(target)
+		if q = t.addQuota(target); q == nil {
+			return false
+		}
 	}
 	first = !q.unreadable
 	q.unreadable = true
@@ -185,8 +189,12 @@
 	return nil
 }
 
-// addQuota adds the state of a target. It replaces that of another incarnation.
+// addQuota adds the state of a target. It replaces that of an earlier incarnation, and
+// returns nil if there is the state of a later one.
 func (t *Table) addQuota(target *snipefleet.Target) *quota {
+	if q := t.quotas[target.ID]; q != nil && q.target.Born > target.Born {
+		return nil
+	}
 	q := &quota{target: target, clients: make(map[string]*client)}
 	t.quotas[target.ID] = q
 	return q
--- a/snipequota/table_test.go
+++ b/snipequota/table_test.go
@@ -9,7 +9,8 @@
 )
 
 // TestStatements guards against a limit that outlives its target's last statement of
-// it, that an older statement replaces, or that an unreadable statement ends.
+// it, that an older statement or one of an earlier incarnation replaces, or that an
+// unreadable statement ends.
 func TestStatements(t *testing.T) {
 	table := New(snipefleet.Member{Name: "f"}, snipefleet.New(), zap.NewNop())
 	target := &snipefleet.Target{ID: "t", Born: 1}
@@ -44,6 +45,12 @@
 	if s, _ := table.Current(reborn); s.Limited {
 		t.Errorf("a new incarnation is limited: %+v", s)
 	}
+	table.Record(reborn, Statement{Limited: true, PerSecond: 3, At: 8})
+	table.Record(target, Statement{Limited: true, PerSecond: 9, At: 9})
+	table.RecordUnreadable(target)
+	if s, _ := table.Current(reborn); s.PerSecond != 3 {
+		t.Errorf("after a late statement of the earlier incarnation: %+v", s)
+	}
 	table.Forget(8, func(string) bool { return false })
 	if table.NumLimited() != 0 {
 		t.Error("a target that left is still limited")
