--- a/snipeplacement/doc.go
+++ b/snipeplacement/doc.go
@@ -8,5 +8,12 @@
 // If all are at their limits, the request is refused at once: sending it to other
 // targets would evict objects from their caches.
 //
+// A Chooser is the one place that answers whether a request may be sent to a target now,
+// and when not, when it may be. It asks the registry (a target that leaves or is evacuated
+// is not in its view), then what it knows about the target itself: whether it rests,
+// whether requests to it fail, whether its rate limit admits the request, whether it is
+// cold, and its load. After a rest, the fronts return to a target one after the other, and
+// each one slowly.
+//
 // The package performs no I/O and reads no clock; callers pass the time.
 package snipeplacement
