snipefleet: a target that leaves is not used at another address of its incarnation

Incarnations with a start time are now compared by it alone. TestLeavingAtEarlierAddress failed before.

--- a/snipefleet/registry.go
+++ b/snipefleet/registry.go
@@ -291,7 +291,7 @@
 		return false
 	}
 	r.departForGood(t)
-	if e := r.targets[t.ID]; e != nil && e.value.Born == t.Born && e.value.Address == t.Address {
+	if e := r.targets[t.ID]; e != nil && sameIncarnation(e.value, t) {
 		leaving := *e.value
 		leaving.Draining = true
 		e.value = &leaving
@@ -300,6 +300,12 @@
 	return true
 }
 
+// sameIncarnation reports whether two states of a target are of one incarnation. Those
+// without a start time are if they have the same address.
+func sameIncarnation(a, b *Target) bool {
+	return a.Born == b.Born && (a.Born != 0 || a.Address == b.Address)
+}
+
 // MarkMisaddressed records that another target answered at the address of t. The
 // incarnation t has therefore left, and is removed.
 func (r *Registry) MarkMisaddressed(t *Target) {
--- a/snipefleet/registry_test.go
+++ b/snipefleet/registry_test.go
@@ -152,6 +152,21 @@
 	}
 }
 
+// TestLeavingAtEarlierAddress guards against a target that stays in use although it stated
+// that it leaves, because its entry has named another address since the request was sent.
+func TestLeavingAtEarlierAddress(t *testing.T) {
+	r := New()
+	r.UpdateTarget(0, report("a", 1))
+	asked := r.View().Targets("s")[0]
+	moved := report("a", 1)
+	moved.Address, moved.Sequence = "b", 1
+	r.UpdateTarget(second, moved)
+	r.MarkLeaving(asked)
+	if usableCount(r) != 0 {
+		t.Fatal("the leaving target is in use")
+	}
+}
+
 // TestLateLeavingStatement guards against a statement of an earlier incarnation, in a
 // response that was on its way, that takes the next one out of use.
 func TestLateLeavingStatement(t *testing.T) {
