snipeforward: TestHedgeLoserIsCancelled lets the slow attempt begin first

KNOWN-RED.txt had the trace: the slow attempt was cancelled before its request arrived, so that no handler was there to notice it and the test waited for ever; a race of the test, not of the forwarder. The fast target now responds only when the slow one has begun, which is the case that the test names. All checks are as before.

--- a/snipeforward/faults_test.go
+++ b/snipeforward/faults_test.go
@@ -151,12 +151,14 @@
 // Guards against an attempt that continues after the other one of a hedged pair
 // has responded.
 func TestHedgeLoserIsCancelled(t *testing.T) {
-	cancelled := make(chan struct{})
+	begun, cancelled := make(chan struct{}), make(chan struct{})
 	slow := serveTarget(t, func(_ http.ResponseWriter, r *http.Request) {
+		close(begun)
 		<-r.Context().Done()
 		close(cancelled)
 	})
-	fast := serveTarget(t, func(http.ResponseWriter, *http.Request) {})
+	// An attempt that is cancelled before it arrives has no handler to notice that.
+	fast := serveTarget(t, func(http.ResponseWriter, *http.Request) { <-begun })
 	a, _ := newFleet(t, localPlan, fast, slow)
 	a.hedge = time.Millisecond
 	resp, err := a.send(t.Context(), "GET", "safe/x", nil)
