--- a/snipeplacement/rest_test.go
+++ b/snipeplacement/rest_test.go
@@ -193,20 +193,20 @@
 	if c.Recheck(second, v, first) != ReasonResting {
 		t.Error("the rest is forgotten when the entry is missing")
 	}
-	second1 := *first
-	second1.Born = 2
+	reborn := *first
+	reborn.Born = 2
 	later := snipefleet.New()
 	later.UpdateTarget(second, snipefleet.TargetReport{ID: "a", Service: "s", Address: "a", Slots: slots, Born: 2})
 	v = later.View()
 	if _, refusal := c.Choose(second, v, q); refusal != nil {
 		t.Fatalf("the new incarnation is not used: %+v", refusal)
 	}
-	if c.RecordRest(second, first, 9*time.Second) || c.Recheck(second, v, &second1) != "" {
+	if c.RecordRest(second, first, 9*time.Second) || c.Recheck(second, v, &reborn) != "" {
 		t.Error("a late statement of the earlier incarnation binds the new one")
 	}
-	c.RecordRest(second, &second1, 5*time.Second)
+	c.RecordRest(second, &reborn, 5*time.Second)
 	c.RecordResult(second, first, Result{Completed: true})
-	if c.Recheck(2*second, v, &second1) != ReasonResting {
+	if c.Recheck(2*second, v, &reborn) != ReasonResting {
 		t.Error("a late result of the earlier incarnation ends the rest of the new one")
 	}
 	c.Forget(20*second, func(string) bool { return false })
