--- a/review/reviewcase/main.go
+++ b/review/reviewcase/main.go
@@ -21,7 +21,7 @@
 	name := flag.String("case", "", "name of the case")
 	recordPath := flag.String("record", "record.txt", "file for what was sent, answered and run")
 	trouble := flag.Bool("trouble", true, "play the disruptions of the case")
-	length := flag.Duration("length", 90*time.Second, "time during which clients send")
+	length := flag.Duration("length", 100*time.Second, "time during which clients send")
 	flag.Parse()
 	out, err := os.Create(*recordPath)
 	if err != nil {
--- a/review/reviewcase/refused.go
+++ b/review/reviewcase/refused.go
@@ -10,17 +10,15 @@
 	// slotsPerServer and workTime describe the service.
 	slotsPerServer = 3
 	workTime       = 100 * time.Millisecond
-	// clientsPerZone send requestRate requests a second each.
 	clientsPerZone = 20
-	requestRate    = 2.0
 	// lateWait is how long to wait for requests that run after the last answer.
 	lateWait = 2 * time.Second
 )
 
 // playRefused plays traffic on a service with the given number of servers in each zone
 // beside trouble, which runs until the end, and checks that no request that was refused has
-// run.
-func playRefused(s *setup, serversPerZone, maxAttempts int, trouble func(d *deployment, until time.Time) error) ([]string, error) {
+// run. Each client sends perSecond requests a second.
+func playRefused(s *setup, serversPerZone, maxAttempts int, perSecond float64, trouble func(d *deployment, until time.Time) error) ([]string, error) {
 	d := newDeployment(s, maxAttempts)
 	defer d.close()
 	if err := d.addServers("bookdesk", serversPerZone, slotsPerServer, workTime); err != nil {
@@ -39,7 +37,7 @@
 		}
 		done <- trouble(d, until)
 	}()
-	d.runClients(clientsPerZone, requestRate, until)
+	d.runClients(clientsPerZone, perSecond, until)
 	if err := <-done; err != nil {
 		return nil, err
 	}
@@ -51,7 +49,7 @@
 	// downTime is how long the servers of a zone are down, and returnPeriod the time from
 	// one time to the next.
 	downTime     = time.Second
-	returnPeriod = 5 * time.Second
+	returnPeriod = 2500 * time.Millisecond
 	// garbledShare is the share of the servers that send answers twice.
 	garbledShare = 0.6
 )
@@ -60,8 +58,8 @@
 // come back at their addresses under new IDs (cold_return), while some servers send a copy
 // of some answers late (garble, extra late).
 func playMisdirected(s *setup) ([]string, error) {
-	const serversPerZone, attempts = 2, 2
-	return playRefused(s, serversPerZone, attempts, func(d *deployment, until time.Time) error {
+	const serversPerZone, attempts, perSecond = 2, 2, 1.0
+	return playRefused(s, serversPerZone, attempts, perSecond, func(d *deployment, until time.Time) error {
 		for _, i := range rand.Perm(len(d.servers))[:int(garbledShare*float64(len(d.servers)))] {
 			garble(d.servers[i], func(status int) bool { return status == http.StatusMisdirectedRequest })
 		}
@@ -100,8 +98,8 @@
 // slots (srv_grey, shed), and that sends a copy of some of these answers late (garble,
 // extra late), with routes that allow three attempts.
 func playThirdAttempt(s *setup) ([]string, error) {
-	const serversPerZone, attempts = 4, 3
-	return playRefused(s, serversPerZone, attempts, func(d *deployment, _ time.Time) error {
+	const serversPerZone, attempts, perSecond = 4, 3, 2.0
+	return playRefused(s, serversPerZone, attempts, perSecond, func(d *deployment, _ time.Time) error {
 		grey := d.servers[rand.IntN(len(d.servers))]
 		garble(grey, func(status int) bool { return status == http.StatusServiceUnavailable })
 		grey.mu.Lock()
