snipegate: the log names the connection and the responder of each refusal

Two attempts over one connection could not be told from two over connections that happen to be equal in the log of another front.

Each entry of notRun now has attempt, and for a response responder (the ID that the response states, if it does), connectionAge and earlierRequests. TestRefusalIsTraceable is new; TestPromiseIsLogged checks the attempt too. No behaviour changes.

--- a/snipeconn/exchange.go
+++ b/snipeconn/exchange.go
@@ -37,7 +37,8 @@
 			return nil, &Error{Cause: CauseWithdrawn, Err: err}
 		}
 	}
-	e := &exchange{pools: p, conn: c, reused: reused, request: r, ctx: ctx}
+	e := &exchange{pools: p, conn: c, reused: reused, earlier: c.sent, request: r, ctx: ctx}
+	c.sent++
 	resp, err := e.run()
 	if err != nil {
 		e.stopWatching()
@@ -65,9 +66,11 @@
 
 // exchange is one request and its response on one connection.
 type exchange struct {
-	pools   *Pools
-	conn    *conn
-	reused  bool
+	pools  *Pools
+	conn   *conn
+	reused bool
+	// earlier is the number of requests that were sent over the connection before.
+	earlier int
 	request *Request
 	ctx     context.Context
 	// stopAfterFunc is the stop function of context.AfterFunc.
--- a/snipeconn/pool.go
+++ b/snipeconn/pool.go
@@ -97,6 +97,9 @@
 	address string
 	reader  *bufio.Reader
 	limiter *headLimiter
+	opened  time.Time
+	// sent is the number of requests that were sent over the connection.
+	sent int
 	// expires is the time from which an idle connection is not reused.
 	expires time.Time
 }
@@ -156,7 +159,7 @@
 
 func newConn(raw net.Conn, address string) *conn {
 	limiter := &headLimiter{conn: raw}
-	return &conn{Conn: raw, address: address, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}
+	return &conn{Conn: raw, address: address, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), opened: time.Now()}
 }
 
 // putIdle adds a connection to the idle ones. keepAlive is how long it may stay
--- a/snipeconn/response.go
+++ b/snipeconn/response.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
 )
 
 // Response is the response of a target to one request. Close must be called.
@@ -27,8 +28,10 @@
 	// Reused reports whether the request was sent on a reused connection.
 	Reused bool
 
-	conn   *conn
-	finish func()
+	conn *conn
+	// earlier is exchange.earlier.
+	earlier int
+	finish  func()
 }
 
 // LocalAddr returns the local address of the connection over which the response came, as
@@ -40,6 +43,19 @@
 	return r.conn.LocalAddr().String()
 }
 
+// ConnOpened returns when the connection was opened over which the response came, or the
+// zero time if it is not known.
+func (r *Response) ConnOpened() time.Time {
+	if r.conn == nil {
+		return time.Time{}
+	}
+	return r.conn.opened
+}
+
+// EarlierRequests returns the number of requests that were sent over the connection before
+// the one of this response.
+func (r *Response) EarlierRequests() int { return r.earlier }
+
 // Close releases the connection and the memory of the response. The connection
 // of a response that was not buffered completely is closed, not reused.
 func (r *Response) Close() {
@@ -156,7 +172,7 @@
 // buffered until it is complete if there is memory for it; any other body is
 // streamed through Response.Stream.
 func (e *exchange) readBody(resp *http.Response) (*Response, error) {
-	out := &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, conn: e.conn}
+	out := &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, conn: e.conn, earlier: e.earlier}
 	if resp.Body == http.NoBody {
 		// A response to HEAD declares the length of a body that is not sent.
 		e.recycleConn(resp)
--- a/snipegate/attempts.go
+++ b/snipegate/attempts.go
@@ -158,6 +158,7 @@
 		// The target finishes such a request even if the caller disconnects.
 		ctx = context.WithoutCancel(ctx)
 	}
+	q.attempts++
 	sent := time.Now()
 	resp, err := q.gate.Sender.Send(ctx, &snipeconn.Request{
 		Address: t.Address, Method: q.r.Method, URI: q.uri, Host: q.r.Host, Header: q.r.Header,
--- a/snipegate/gate.go
+++ b/snipegate/gate.go
@@ -262,6 +262,8 @@
 	// refusal is set if no target was available.
 	chosen  snipeplacement.Candidate
 	refusal *snipeplacement.Refusal
+	// attempts is the number of attempts, including those that were not sent.
+	attempts int
 	// notRun are the attempts that have not run.
 	notRun notRunAttempts
 	// refusedOver is the local address of the connection over which a target last refused
--- a/snipegate/gate_test.go
+++ b/snipegate/gate_test.go
@@ -43,7 +43,7 @@
 	rest, _ := time.ParseDuration(h.Get("Rest"))
 	return ResponseHeaders{
 		NotRun: misaddressed || h.Get("Not-Run") != "", WrongTarget: misaddressed, Signed: h.Get("Signed") != "",
-		Leaving: h.Get("Leaving") != "", Rest: rest,
+		Responder: h.Get("Responder"), Leaving: h.Get("Leaving") != "", Rest: rest,
 	}
 }
 
--- a/snipegate/headers.go
+++ b/snipegate/headers.go
@@ -27,6 +27,8 @@
 	// WrongTarget means that the address now belongs to another target. It implies
 	// NotRun.
 	WrongTarget bool
+	// Responder is the ID that the target which sent the response states, or empty.
+	Responder string
 	// Signed means that the response carries the target's signature.
 	Signed bool
 	// Load is the load that the target reports, or nil.
--- a/snipegate/promise.go
+++ b/snipegate/promise.go
@@ -1,8 +1,11 @@
 package snipegate
 
 import (
+	"time"
+
 	"go.uber.org/zap/zapcore"
 
+	"github.com/snipemoor/snipemoor/snipeconn"
 	"github.com/snipemoor/snipemoor/snipefleet"
 )
 
@@ -16,24 +19,42 @@
 // notRunAttempt is an attempt of which the gate knows that the target has not run it and
 // never will.
 type notRunAttempt struct {
+	// attempt is the number of the attempt, from 1.
+	attempt int
+	// target is the ID of the target that was asked.
 	target string
 	// reason says what the knowledge rests on: nothing was written, the target states it,
 	// or another target has the address.
 	reason string
-	// localAddr is the local address of the connection, and status that of the response.
-	// They are empty and zero if nothing was written.
+	// response is the response that says so, or nil if nothing was written.
+	response *refusalResponse
+}
+
+// refusalResponse describes a response that refuses a request.
+type refusalResponse struct {
+	status int
+	// responder is the ID that the response states for the target that sent it, or empty.
+	responder string
+	// localAddr is the local address of the connection, age the time since it was opened,
+	// and earlier the number of requests that were sent over it before.
 	localAddr string
-	status    int
+	age       time.Duration
+	earlier   int
 }
 
 // MarshalLogObject implements zapcore.ObjectMarshaler.
 func (a notRunAttempt) MarshalLogObject(e zapcore.ObjectEncoder) error {
+	e.AddInt("attempt", a.attempt)
 	e.AddString("target", a.target)
 	e.AddString("reason", a.reason)
-	if a.localAddr != "" {
-		e.AddString("connection", a.localAddr)
-		e.AddInt("status", a.status)
+	if a.response == nil {
+		return nil
 	}
+	e.AddInt("status", a.response.status)
+	e.AddString("responder", a.response.responder)
+	e.AddString("connection", a.response.localAddr)
+	e.AddDuration("connectionAge", a.response.age)
+	e.AddInt("earlierRequests", a.response.earlier)
 	return nil
 }
 
@@ -51,7 +72,13 @@
 	return nil
 }
 
-// recordNotRun records that an attempt has not run.
-func (q *request) recordNotRun(t *snipefleet.Target, reason, localAddr string, status int) {
-	q.notRun = append(q.notRun, notRunAttempt{t.ID, reason, localAddr, status})
+// recordRefusal records an attempt whose response states that it has not run.
+func (q *request) recordRefusal(t *snipefleet.Target, reason string, h ResponseHeaders, resp *snipeconn.Response) {
+	q.notRun = append(q.notRun, notRunAttempt{
+		attempt: q.attempts, target: t.ID, reason: reason,
+		response: &refusalResponse{
+			status: resp.Status, responder: h.Responder,
+			localAddr: resp.LocalAddr(), age: time.Since(resp.ConnOpened()), earlier: resp.EarlierRequests(),
+		},
+	})
 }
--- a/snipegate/promise_test.go
+++ b/snipegate/promise_test.go
@@ -1,8 +1,12 @@
 package snipegate
 
 import (
+	"bufio"
+	"io"
+	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
@@ -39,10 +43,36 @@
 			}
 			for i, attempt := range logged {
 				fields := attempt.(map[string]any)
-				if fields["reason"] != tc.reasons[i] || fields["target"] != r.sender.sent[i].Address {
+				if fields["reason"] != tc.reasons[i] || fields["target"] != r.sender.sent[i].Address || fields["attempt"] != i+1 {
 					t.Errorf("attempt %d to %s is logged as %v", i, r.sender.sent[i].Address, fields)
 				}
 			}
 		})
 	}
 }
+
+// TestRefusalIsTraceable guards against a logged refusal that cannot be joined with the log
+// of the target: by the target that answered, the connection, its age and its requests.
+func TestRefusalIsTraceable(t *testing.T) {
+	const refusal = "HTTP/1.1 421 Misdirected Request\r\nId: 1\r\nResponder: other\r\nContent-Length: 0\r\n\r\n"
+	var peers []string
+	address := startTarget(t, func(c net.Conn, _ *bufio.Reader, _ int) {
+		peers = append(peers, c.RemoteAddr().String())
+		_, _ = io.WriteString(c, refusal)
+	})
+	r := newTestGateAt(t, snipetable.NonIdempotent, address, "d")
+	core, logs := observer.New(zap.InfoLevel)
+	r.gate.Log = zap.New(core)
+	if w := r.call(http.MethodPost, "/", ""); w.Code != http.StatusServiceUnavailable {
+		t.Fatalf("status %d", w.Code)
+	}
+	logged, _ := logs.FilterMessage("request").All()[0].ContextMap()["notRun"].([]any)
+	if len(logged) != 1 {
+		t.Fatalf("logged %v, want one attempt", logged)
+	}
+	fields := logged[0].(map[string]any)
+	age, _ := fields["connectionAge"].(time.Duration)
+	if fields["responder"] != "other" || fields["connection"] != peers[0] || fields["earlierRequests"] != 0 || age <= 0 || age > time.Minute {
+		t.Errorf("logged %v, want the responder, and connection %s without earlier requests", fields, peers[0])
+	}
+}
--- a/snipegate/responses.go
+++ b/snipegate/responses.go
@@ -42,7 +42,7 @@
 	if failure.MayHaveBegun {
 		return mayHaveRun
 	}
-	q.recordNotRun(t, reasonNotSent, "", 0)
+	q.notRun = append(q.notRun, notRunAttempt{attempt: q.attempts, target: t.ID, reason: reasonNotSent})
 	return notSent
 }
 
@@ -62,12 +62,12 @@
 	switch {
 	case s.WrongTarget:
 		q.gate.Fleet.MarkMisaddressed(t)
-		q.recordNotRun(t, reasonMisaddressed, resp.LocalAddr(), resp.Status)
+		q.recordRefusal(t, reasonMisaddressed, s, resp)
 		q.outcome = OutcomeTargetRefused
 		return notRun
 	case s.NotRun:
 		q.refusedOver = resp.LocalAddr()
-		q.recordNotRun(t, reasonStated, q.refusedOver, resp.Status)
+		q.recordRefusal(t, reasonStated, s, resp)
 		q.outcome, q.retryDelay = OutcomeTargetRefused, fullTargetRetryDelay
 		if hasFreeSlot(s.Load) && s.Rest == 0 {
 			// The refusal is temporary, since the target has a free slot: it
--- a/snipegate/statements_test.go
+++ b/snipegate/statements_test.go
@@ -145,15 +145,7 @@
 		ran.Add(1)
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\nSigned: 1\r\nContent-Length: 1\r\n\r\nx")
 	})
-	r := newTestGate(t, snipetable.NonIdempotent)
-	now := r.gate.Clock.Now()
-	for _, id := range []string{"a", "b", "c"} {
-		r.fleet.RemoveTarget(now, id)
-	}
-	r.fleet.UpdateTarget(now, snipefleet.TargetReport{ID: "d", Service: "s", Address: target, Slots: 4, Born: 1})
-	pools := snipeconn.New(snipeconn.Settings{})
-	t.Cleanup(func() { pools.CloseExpired(time.Now(), func(string) bool { return false }) })
-	r.gate.Sender = pools
+	r := newTestGateAt(t, snipetable.NonIdempotent, target, "d")
 	r.gate.HeaderCodec = loadDialect{load: &snipeplacement.Load{Slots: 4}}
 	w := r.call(http.MethodPost, "/", "")
 	if ran.Load() > 0 && w.Code == http.StatusServiceUnavailable {
@@ -164,6 +156,24 @@
 	}
 }
 
+// newTestGateAt returns a gate that sends over connections, with targets of the given IDs
+// that have all the same address.
+func newTestGateAt(t *testing.T, kind snipetable.Kind, address string, ids ...string) *testGate {
+	t.Helper()
+	r := newTestGate(t, kind)
+	now := r.gate.Clock.Now()
+	for _, id := range []string{"a", "b", "c"} {
+		r.fleet.RemoveTarget(now, id)
+	}
+	for _, id := range ids {
+		r.fleet.UpdateTarget(now, snipefleet.TargetReport{ID: id, Service: "s", Address: address, Slots: 4, Born: 1})
+	}
+	pools := snipeconn.New(snipeconn.Settings{})
+	t.Cleanup(func() { pools.CloseExpired(time.Now(), func(string) bool { return false }) })
+	r.gate.Sender = pools
+	return r
+}
+
 // startTarget starts a target that reads a request on each connection and then calls
 // serve with the number of the connection, and returns its address.
 func startTarget(t *testing.T, serve func(c net.Conn, r *bufio.Reader, n int)) string {
