snipeconn: a connection carries each request identifier once

A target may send a response once more where the next response over the connection is expected, and only the identifier tells the copy from that response. All attempts of one request have the same identifier. So whenever two attempts go over one connection, a copy of the first response passes for the second.

Change: every connection knows the identifiers that were sent over it, and a request takes only an idle connection that has not carried its own, or opens one. That holds for all callers of snipeconn, whatever target, status or attempt. Request.Avoid is gone. Identifiers are kept as hashes with a random seed; equal hashes only cost a connection. After 1,024 requests a connection is closed, which bounds the memory at 8 KiB. A request without an identifier has a connection of its own. Idle connections that are kept while one more is opened are bounded, or a caller with one ID for all requests would fill the pool. BenchmarkForward now uses one ID for each request.

Tests, before: TestLateRefusal fails in "one target, third attempt", "fourth attempt" and "two entries, misdirected" (503, ran once) and in two mixed cases; TestLateResponse (rapid) fails at the first example, "request 2 of ID 2 got response 1 of ID 2". After: both pass, with the race detector too.

--- a/snipeconn/conn_test.go
+++ b/snipeconn/conn_test.go
@@ -66,18 +66,21 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", idHeader, id, len(body), body)
 }
 
+// serveOK responds to each request of a connection with status 200.
+func serveOK(c net.Conn, r *bufio.Reader) {
+	for {
+		id, err := readRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, okResponse(id, "ok"))
+	}
+}
+
 // TestReuse guards against reusable connections that are discarded, in particular
 // after the deadline of their last request has passed.
 func TestReuse(t *testing.T) {
-	address := startTarget(t, func(c net.Conn, r *bufio.Reader) {
-		for {
-			id, err := readRequest(r)
-			if err != nil {
-				return
-			}
-			_, _ = io.WriteString(c, okResponse(id, "ok"))
-		}
-	})
+	address := startTarget(t, serveOK)
 	p := New(Settings{})
 	const wait = 30 * time.Millisecond
 	for i := range 3 {
@@ -289,7 +292,7 @@
 		t.Fatal(err)
 	}
 	resp.Close()
-	if c := p.takeIdle(address, "", time.Now()); c != nil {
+	if c := p.takeIdle(address, 0, time.Now()); c != nil {
 		t.Error("the connection was kept for reuse")
 	}
 }
--- a/snipeconn/exchange.go
+++ b/snipeconn/exchange.go
@@ -24,7 +24,8 @@
 	if err := ctx.Err(); err != nil {
 		return nil, &Error{Cause: CauseCancelled, Err: err}
 	}
-	c := p.takeIdle(r.Address, r.Avoid, now)
+	id := p.hasher.hash(r.ID)
+	c := p.takeIdle(r.Address, id, now)
 	reused := c != nil
 	if c == nil {
 		dialed, err := p.dial(ctx, r.Address)
@@ -37,8 +38,8 @@
 			return nil, &Error{Cause: CauseWithdrawn, Err: err}
 		}
 	}
-	e := &exchange{pools: p, conn: c, reused: reused, earlier: c.sent, request: r, ctx: ctx}
-	c.sent++
+	e := &exchange{pools: p, conn: c, reused: reused, earlier: c.sent.count(), request: r, ctx: ctx}
+	c.sent.add(id)
 	resp, err := e.run()
 	if err != nil {
 		e.stopWatching()
@@ -139,8 +140,9 @@
 
 // recycleConn returns the connection to the pool after a complete response, or
 // closes it. It is not reusable if the context has ended, the response ends only
-// with the connection, the target closes it, unread bytes follow the response or
-// the request body is still being written.
+// with the connection, the target closes it, unread bytes follow the response, the
+// request body is still being written, the request had no identifier or was the last
+// one that the connection may carry.
 func (e *exchange) recycleConn(resp *http.Response) {
 	stopped := e.stopWatching()
 	endDefined := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Body == http.NoBody
@@ -148,6 +150,10 @@
 		e.conn.discard()
 		return
 	}
+	if e.request.ID == "" || e.conn.sent.full() {
+		e.conn.discard()
+		return
+	}
 	keepAlive, known := keepAliveTimeout(resp.Header)
 	if known && keepAlive <= 0 || e.conn.SetDeadline(time.Time{}) != nil {
 		e.conn.discard()
--- a/snipeconn/pool.go
+++ b/snipeconn/pool.go
@@ -77,6 +77,7 @@
 type Pools struct {
 	settings Settings
 	dialer   net.Dialer
+	hasher   idHasher
 
 	mu     sync.Mutex
 	idle   map[string][]*conn // by address, most recently used last
@@ -86,7 +87,7 @@
 
 // New returns an empty set of pools.
 func New(settings Settings) *Pools {
-	p := &Pools{settings: settings.withDefaults(), idle: make(map[string][]*conn)}
+	p := &Pools{settings: settings.withDefaults(), hasher: newIDHasher(), idle: make(map[string][]*conn)}
 	p.dialer = net.Dialer{Timeout: p.settings.DialTimeout, KeepAlive: -1, Control: TCPUserTimeoutControl(p.settings.TCPUserTimeout)}
 	return p
 }
@@ -98,19 +99,20 @@
 	reader  *bufio.Reader
 	limiter *headLimiter
 	opened  time.Time
-	// sent is the number of requests that were sent over the connection.
-	sent int
+	// sent are the requests that were sent over the connection.
+	sent sentIDs
 	// expires is the time from which an idle connection is not reused.
 	expires time.Time
 }
 
 // takeIdle removes and returns the most recently used idle connection that the
-// target has neither closed nor written to, or returns nil. It closes the
-// unusable ones that it meets. The connection with the local address avoid is left.
-func (p *Pools) takeIdle(address, avoid string, now time.Time) *conn {
+// target has neither closed nor written to and over which id was not sent, or returns
+// nil. It closes the unusable ones that it meets.
+func (p *Pools) takeIdle(address string, id hashedID, now time.Time) *conn {
 	for {
-		c := p.removeIdle(address, avoid)
+		c := p.removeIdle(address, id)
 		if c == nil {
+			p.trimIdle(address)
 			return nil
 		}
 		if now.Before(c.expires) && openWithoutData(c.Conn) {
@@ -123,22 +125,37 @@
 	}
 }
 
-// removeIdle removes and returns the most recently used idle connection, except the one
-// with the local address avoid, or returns nil.
-func (p *Pools) removeIdle(address, avoid string) *conn {
+// removeIdle removes and returns the most recently used idle connection over which id
+// was not sent, or returns nil.
+func (p *Pools) removeIdle(address string, id hashedID) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	at := len(list) - 1
-	if at >= 0 && avoid != "" && list[at].LocalAddr().String() == avoid {
-		at--
+	for i, c := range slices.Backward(list) {
+		if c.sent.mayInclude(id) {
+			continue
+		}
+		p.idle[address] = slices.Delete(list, i, i+1)
+		return c
 	}
-	if at < 0 {
-		return nil
+	return nil
+}
+
+// maxIdleBesideNew is the number of idle connections to an address that are kept when one
+// more is opened because none of them is usable for a request.
+const maxIdleBesideNew = 8
+
+// trimIdle closes the least recently used idle connections to an address beyond
+// maxIdleBesideNew.
+func (p *Pools) trimIdle(address string) {
+	p.mu.Lock()
+	list := p.idle[address]
+	excess := slices.Clone(list[:max(len(list)-maxIdleBesideNew, 0)])
+	p.idle[address] = slices.Delete(list, 0, len(excess))
+	p.mu.Unlock()
+	for _, c := range excess {
+		c.discard()
 	}
-	c := list[at]
-	p.idle[address] = slices.Delete(list, at, at+1)
-	return c
 }
 
 // discard closes a connection that is not reused. Nothing depends on an error of
--- a/snipeconn/request.go
+++ b/snipeconn/request.go
@@ -25,14 +25,12 @@
 	Body    []byte
 	HasBody bool
 	// IDHeader names the header field in which a response echoes the identifier
-	// of its request, and ID is that identifier.
+	// of its request, and ID is that identifier. No connection carries an identifier
+	// twice, whichever target it names. A request without one is sent over a connection
+	// of its own.
 	IDHeader, ID string
 	// Deadline bounds the whole exchange, including the body of the response.
 	Deadline time.Time
-	// Avoid is the LocalAddr of a kept connection over which the request is not sent, or
-	// empty. Over a connection on which it was sent before, a duplicate of the first
-	// response cannot be told from the second.
-	Avoid string
 	// Confirm is called after a connection was opened for the request and before anything
 	// is written to it. If it returns an error, the request is not sent. It may be nil.
 	Confirm func() error
--- a/snipegate/bench_test.go
+++ b/snipegate/bench_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"testing"
 	"time"
 
@@ -55,13 +56,13 @@
 			client := &http.Client{Transport: &http.Transport{}}
 			defer client.CloseIdleConnections()
 			b.ReportAllocs()
-			for range b.N {
+			for i := range b.N {
 				req, err := http.NewRequest(http.MethodGet, "http://"+address.String()+"/", nil)
 				if err != nil {
 					b.Fatal(err)
 				}
 				req.Host = "h"
-				req.Header.Set("Id", "1")
+				req.Header.Set("Id", name+strconv.Itoa(i))
 				resp, err := client.Do(req)
 				if err != nil {
 					b.Fatal(err)
--- a/snipegate/gate.go
+++ b/snipegate/gate.go
@@ -266,9 +266,6 @@
 	attempts int
 	// notRun are the attempts that have not run.
 	notRun notRunAttempts
-	// refusedOver is the local address of the connection over which a target last refused
-	// the request.
-	refusedOver string
 	// retryDelay is the delay before a retry by the caller that the last refusal of a
 	// target implies; zero means none.
 	retryDelay time.Duration
--- a/snipegate/gate_test.go
+++ b/snipegate/gate_test.go
@@ -103,15 +103,9 @@
 	for _, id := range []string{"a", "b", "c"} {
 		r.fleet.UpdateTarget(clock.Now(), snipefleet.TargetReport{ID: id, Service: "s", Address: id, Slots: 4, Born: 1})
 	}
-	table, err := snipetable.New(1, []snipetable.Route{{
-		Name: "r", Host: "h", Prefix: "/", Kind: kind, Timeout: 500 * time.Millisecond,
-		MaxAttempts: 2, Backends: []snipetable.Backend{{Service: "s", Weight: 1}},
-	}}, []snipetable.Service{{Name: "s"}}, snipetable.Limits{BodyBytes: 100})
-	if err != nil {
-		t.Fatal(err)
-	}
+	const maxAttempts = 2
 	var tables snipetable.Holder
-	tables.UpdateIfNewer(table)
+	tables.UpdateIfNewer(newTestTable(t, 1, kind, maxAttempts))
 	limits := snipequota.New(snipefleet.Member{Name: "f"}, r.fleet, zap.NewNop())
 	r.gate = New(Dependencies{
 		HeaderCodec: testDialect{}, Tables: &tables, Fleet: r.fleet, Chooser: snipeplacement.New("f", snipefleet.Place{}, limits), Limits: limits,
@@ -123,6 +117,19 @@
 	return r
 }
 
+// newTestTable returns a version of a configuration with one route.
+func newTestTable(t *testing.T, version uint64, kind snipetable.Kind, maxAttempts int) *snipetable.Table {
+	t.Helper()
+	table, err := snipetable.New(version, []snipetable.Route{{
+		Name: "r", Host: "h", Prefix: "/", Kind: kind, Timeout: 500 * time.Millisecond,
+		MaxAttempts: maxAttempts, Backends: []snipetable.Backend{{Service: "s", Weight: 1}},
+	}}, []snipetable.Service{{Name: "s"}}, snipetable.Limits{BodyBytes: 100})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return table
+}
+
 // call sends a request with ID 1 to the gate and returns the response.
 func (r *testGate) call(method, path, body string) *httptest.ResponseRecorder {
 	req := httptest.NewRequest(method, path, strings.NewReader(body))
--- a/snipegate/responses.go
+++ b/snipegate/responses.go
@@ -66,7 +66,6 @@
 		q.outcome = OutcomeTargetRefused
 		return notRun
 	case s.NotRun:
-		q.refusedOver = resp.LocalAddr()
 		q.recordRefusal(t, reasonStated, s, resp)
 		q.outcome, q.retryDelay = OutcomeTargetRefused, fullTargetRetryDelay
 		if hasFreeSlot(s.Load) && s.Rest == 0 {
--- a/snipegate/statements_test.go
+++ b/snipegate/statements_test.go
@@ -16,6 +16,7 @@
 	"github.com/snipemoor/snipemoor/snipeconn"
 	"github.com/snipemoor/snipemoor/snipefleet"
 	"github.com/snipemoor/snipemoor/snipeplacement"
+	"github.com/snipemoor/snipemoor/sniperetry"
 	"github.com/snipemoor/snipemoor/snipetable"
 )
 
@@ -145,7 +146,7 @@
 		ran.Add(1)
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\nSigned: 1\r\nContent-Length: 1\r\n\r\nx")
 	})
-	r := newTestGateAt(t, snipetable.NonIdempotent, target, "d")
+	r := newTestGateAt(t, 2, target, "d")
 	r.gate.HeaderCodec = loadDialect{load: &snipeplacement.Load{Slots: 4}}
 	w := r.call(http.MethodPost, "/", "")
 	if ran.Load() > 0 && w.Code == http.StatusServiceUnavailable {
@@ -156,11 +157,12 @@
 	}
 }
 
-// newTestGateAt returns a gate that sends over connections, with targets of the given IDs
-// that have all the same address.
-func newTestGateAt(t *testing.T, kind snipetable.Kind, address string, ids ...string) *testGate {
+// newTestGateAt returns a gate that sends over connections. Its requests are not idempotent
+// and may be sent maxAttempts times. Its targets have the given IDs and all the same address.
+func newTestGateAt(t *testing.T, maxAttempts int, address string, ids ...string) *testGate {
 	t.Helper()
-	r := newTestGate(t, kind)
+	r := newTestGate(t, snipetable.NonIdempotent)
+	r.gate.Tables.UpdateIfNewer(newTestTable(t, 2, snipetable.NonIdempotent, maxAttempts))
 	now := r.gate.Clock.Now()
 	for _, id := range []string{"a", "b", "c"} {
 		r.fleet.RemoveTarget(now, id)
@@ -168,6 +170,10 @@
 	for _, id := range ids {
 		r.fleet.UpdateTarget(now, snipefleet.TargetReport{ID: id, Service: "s", Address: address, Slots: 4, Born: 1})
 	}
+	r.gate.RetryBudget = func() sniperetry.BudgetSettings {
+		const retries = 100
+		return sniperetry.BudgetSettings{Initial: retries, Cap: retries}
+	}
 	pools := snipeconn.New(snipeconn.Settings{})
 	t.Cleanup(func() { pools.CloseExpired(time.Now(), func(string) bool { return false }) })
 	r.gate.Sender = pools
