snipeconn: HEAD and other methods have separate connections

A late copy of a response is skipped together with its body, but whether it has one depends on the method of its request: the response to HEAD has a length and no body. With both kinds on one connection, the copy of a response to HEAD takes bytes of the next body with it, and the copy of a response to GET leaves its body where a response is expected. A body that holds the text of a refusal, such as one that echoes what a caller sent, was then taken for the answer of the target.

A connection now carries either HEAD or other methods. No run of real processes shows the fault; the test is the evidence. TestLateResponseToHead, before: "GET got status 503 from the body of a response", and the same for HEAD.

The record of a connection's requests moves to sentRequests, which holds both rules.

--- a/snipeconn/conn_test.go
+++ b/snipeconn/conn_test.go
@@ -292,7 +292,8 @@
 		t.Fatal(err)
 	}
 	resp.Close()
-	if c := p.takeIdle(address, 0, time.Now()); c != nil {
+	next := newRequest(address, "2", time.Second)
+	if c := p.takeIdle(address, p.hasher.key(next), time.Now()); c != nil {
 		t.Error("the connection was kept for reuse")
 	}
 }
--- a/snipeconn/doc.go
+++ b/snipeconn/doc.go
@@ -11,6 +11,8 @@
 // earlier attempt, which has the identifier of its request, is therefore never taken
 // for the response to a later attempt, whichever target, status or caller the two
 // attempts have. A further attempt takes another idle connection, or opens one.
+// Requests of method HEAD and others have separate connections, so that a response to
+// another request can be skipped with its body.
 //
 // A connection is reused only after a complete response with a defined end
 // (Content-Length, chunked or no body) and no bytes after it.
--- a/snipeconn/exchange.go
+++ b/snipeconn/exchange.go
@@ -24,8 +24,8 @@
 	if err := ctx.Err(); err != nil {
 		return nil, &Error{Cause: CauseCancelled, Err: err}
 	}
-	id := p.hasher.hash(r.ID)
-	c := p.takeIdle(r.Address, id, now)
+	key := p.hasher.key(r)
+	c := p.takeIdle(r.Address, key, now)
 	reused := c != nil
 	if c == nil {
 		dialed, err := p.dial(ctx, r.Address)
@@ -39,7 +39,7 @@
 		}
 	}
 	e := &exchange{pools: p, conn: c, reused: reused, earlier: c.sent.count(), request: r, ctx: ctx}
-	c.sent.add(id)
+	c.sent.add(key)
 	resp, err := e.run()
 	if err != nil {
 		e.stopWatching()
@@ -150,7 +150,7 @@
 		e.conn.discard()
 		return
 	}
-	if e.request.ID == "" || e.conn.sent.full() {
+	if e.conn.sent.final() {
 		e.conn.discard()
 		return
 	}
--- a/snipeconn/lateresponse_test.go
+++ b/snipeconn/lateresponse_test.go
@@ -152,3 +152,57 @@
 		t.Errorf("%d idle connections after %d requests with one identifier, want at most %d", n, requests, maxIdleBesideNew+1)
 	}
 }
+
+// TestLateResponseToHead guards against bytes of a body that are taken for a response: the
+// late copy of a response to HEAD has a length but no body, that to GET has both, and the
+// connection does not tell to which of them a copy belongs.
+func TestLateResponseToHead(t *testing.T) {
+	forged := "HTTP/1.1 503 Service Unavailable\r\n" + idHeader + ": 2\r\nContent-Length: 0\r\n\r\n"
+	response := func(id, body string) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n", idHeader, id, len(body))
+	}
+	for _, tc := range []struct {
+		name      string
+		methods   []string
+		responses []string
+	}{
+		{
+			"HEAD then GET",
+			[]string{http.MethodHead, http.MethodGet},
+			[]string{response("1", response("2", forged)), response("2", forged) + forged},
+		},
+		{
+			"GET then HEAD",
+			[]string{http.MethodGet, http.MethodHead},
+			[]string{response("1", forged) + forged, response("2", "x")},
+		},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			address := startTarget(t, func(c net.Conn, r *bufio.Reader) {
+				late := ""
+				for {
+					id, err := readRequest(r)
+					if err != nil {
+						return
+					}
+					n, _ := strconv.Atoi(id)
+					_, _ = io.WriteString(c, late+tc.responses[n-1])
+					late = tc.responses[n-1]
+				}
+			})
+			pools := New(Settings{})
+			t.Cleanup(func() { pools.closeIdle(address) })
+			for i, method := range tc.methods {
+				r := newRequest(address, strconv.Itoa(i+1), time.Second)
+				r.Method = method
+				resp, err := pools.Send(context.Background(), r)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if resp.Status != http.StatusOK {
+					t.Errorf("%s got status %d from the body of a response", method, resp.Status)
+				}
+			}
+		})
+	}
+}
--- a/snipeconn/pool.go
+++ b/snipeconn/pool.go
@@ -100,17 +100,17 @@
 	limiter *headLimiter
 	opened  time.Time
 	// sent are the requests that were sent over the connection.
-	sent sentIDs
+	sent sentRequests
 	// expires is the time from which an idle connection is not reused.
 	expires time.Time
 }
 
 // takeIdle removes and returns the most recently used idle connection that the
-// target has neither closed nor written to and over which id was not sent, or returns
-// nil. It closes the unusable ones that it meets.
-func (p *Pools) takeIdle(address string, id hashedID, now time.Time) *conn {
+// target has neither closed nor written to and over which a request may be sent, or
+// returns nil. It closes the unusable ones that it meets.
+func (p *Pools) takeIdle(address string, k requestKey, now time.Time) *conn {
 	for {
-		c := p.removeIdle(address, id)
+		c := p.removeIdle(address, k)
 		if c == nil {
 			p.trimIdle(address)
 			return nil
@@ -125,14 +125,14 @@
 	}
 }
 
-// removeIdle removes and returns the most recently used idle connection over which id
-// was not sent, or returns nil.
-func (p *Pools) removeIdle(address string, id hashedID) *conn {
+// removeIdle removes and returns the most recently used idle connection over which a
+// request may be sent, or returns nil.
+func (p *Pools) removeIdle(address string, k requestKey) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
 	for i, c := range slices.Backward(list) {
-		if c.sent.mayInclude(id) {
+		if !c.sent.allow(k) {
 			continue
 		}
 		p.idle[address] = slices.Delete(list, i, i+1)
