snipeconn: no request for a target goes over a connection to its predecessor

MarkMisaddressed rests on the answer of whichever process serves the connection. If a process ends its connections in its own time while the next one, under a new ID, has its address already, a kept connection still leads to the first. A request for the new target got 421 there, the front took it for gone and never used it again, and callers got 503 although it was free.

Request.OpenedSince excludes connections that are older than the first report of the target. A 421 that is counted has therefore come over a connection that was opened to the address after the target was known there, so that one is enough. With two entries at one address the older one keeps its connections; its 421s are true.

No run of real processes shows the fault. Cost: none while the target at an address stays the same; otherwise the connections of the predecessor are not reused for the new target.

--- a/snipeconn/conn_test.go
+++ b/snipeconn/conn_test.go
@@ -292,8 +292,7 @@
 		t.Fatal(err)
 	}
 	resp.Close()
-	next := newRequest(address, "2", time.Second)
-	if c := p.takeIdle(address, p.hasher.key(next), time.Now()); c != nil {
+	if c := p.takeIdle(address, time.Now(), func(*conn) bool { return true }); c != nil {
 		t.Error("the connection was kept for reuse")
 	}
 }
--- a/snipeconn/exchange.go
+++ b/snipeconn/exchange.go
@@ -25,7 +25,9 @@
 		return nil, &Error{Cause: CauseCancelled, Err: err}
 	}
 	key := p.hasher.key(r)
-	c := p.takeIdle(r.Address, key, now)
+	c := p.takeIdle(r.Address, now, func(c *conn) bool {
+		return !c.opened.Before(r.OpenedSince) && c.sent.allow(key)
+	})
 	reused := c != nil
 	if c == nil {
 		dialed, err := p.dial(ctx, r.Address)
--- a/snipeconn/pool.go
+++ b/snipeconn/pool.go
@@ -106,11 +106,11 @@
 }
 
 // takeIdle removes and returns the most recently used idle connection that the
-// target has neither closed nor written to and over which a request may be sent, or
+// target has neither closed nor written to and for which allowed returns true, or
 // returns nil. It closes the unusable ones that it meets.
-func (p *Pools) takeIdle(address string, k requestKey, now time.Time) *conn {
+func (p *Pools) takeIdle(address string, now time.Time, allowed func(*conn) bool) *conn {
 	for {
-		c := p.removeIdle(address, k)
+		c := p.removeIdle(address, allowed)
 		if c == nil {
 			p.trimIdle(address)
 			return nil
@@ -125,18 +125,17 @@
 	}
 }
 
-// removeIdle removes and returns the most recently used idle connection over which a
-// request may be sent, or returns nil.
-func (p *Pools) removeIdle(address string, k requestKey) *conn {
+// removeIdle removes and returns the most recently used idle connection for which allowed
+// returns true, or returns nil. It calls allowed with the lock of p held.
+func (p *Pools) removeIdle(address string, allowed func(*conn) bool) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
 	for i, c := range slices.Backward(list) {
-		if !c.sent.allow(k) {
-			continue
+		if allowed(c) {
+			p.idle[address] = slices.Delete(list, i, i+1)
+			return c
 		}
-		p.idle[address] = slices.Delete(list, i, i+1)
-		return c
 	}
 	return nil
 }
--- a/snipeconn/request.go
+++ b/snipeconn/request.go
@@ -29,6 +29,9 @@
 	// twice, whichever target it names. A request without one is sent over a connection
 	// of its own.
 	IDHeader, ID string
+	// OpenedSince excludes the connections that were opened before, to an earlier process at
+	// the address. The zero time excludes none.
+	OpenedSince time.Time
 	// Deadline bounds the whole exchange, including the body of the response.
 	Deadline time.Time
 	// Confirm is called after a connection was opened for the request and before anything
--- a/snipefleet/departure.go
+++ b/snipefleet/departure.go
@@ -69,8 +69,9 @@
 	return a.Born == b.Born && (a.Born != 0 || a.Address == b.Address)
 }
 
-// MarkMisaddressed records that another target answered at the address of t. The
-// incarnation t has therefore left, and is removed.
+// MarkMisaddressed records that another target answered at the address of t, over a
+// connection that was opened after t was first reported. The incarnation t has therefore
+// left, and is removed.
 func (r *Registry) MarkMisaddressed(t *Target) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/snipegate/attempts.go
+++ b/snipegate/attempts.go
@@ -165,7 +165,7 @@
 		Overrides: q.gate.HeaderCodec.TargetHeaders(time.Until(q.deadline), t.ID),
 		Body:      q.body, HasBody: q.r.ContentLength != 0 || q.r.Header.Get("Content-Length") != "",
 		IDHeader: q.gate.HeaderCodec.IDHeader(), ID: q.call.ID, Deadline: q.deadline,
-		Confirm: func() error { return q.confirm(t) },
+		OpenedSince: sent.Add(-q.gate.Clock.Now().Sub(t.FirstReported)), Confirm: func() error { return q.confirm(t) },
 	})
 	if err != nil {
 		return q.handleFailure(t, sent, err)
--- a/snipegate/gate.go
+++ b/snipegate/gate.go
@@ -62,7 +62,8 @@
 type Fleet interface {
 	// View returns the current snapshot of targets and fronts.
 	View() *snipefleet.View
-	// MarkMisaddressed reports that the address of t belongs to another target.
+	// MarkMisaddressed reports that the address of t belongs to another target, as a
+	// connection shows that was opened after t was first reported.
 	MarkMisaddressed(t *snipefleet.Target)
 	// MarkLeaving reports that t states that it leaves, and returns whether that was not
 	// known.
--- a/snipegate/gate_test.go
+++ b/snipegate/gate_test.go
@@ -132,9 +132,14 @@
 
 // call sends a request with ID 1 to the gate and returns the response.
 func (r *testGate) call(method, path, body string) *httptest.ResponseRecorder {
+	return r.callAs("1", method, path, body)
+}
+
+// callAs is call with the given ID.
+func (r *testGate) callAs(id, method, path, body string) *httptest.ResponseRecorder {
 	req := httptest.NewRequest(method, path, strings.NewReader(body))
 	req.Host = "H:80"
-	req.Header.Set("Id", "1")
+	req.Header.Set("Id", id)
 	w := httptest.NewRecorder()
 	r.gate.ServeHTTP(w, req)
 	return w
