snipegate: late copies in a random scenario, and the cost of retries

TestLateCopies draws routes of one to five attempts, one to three entries at an address, responses of all kinds (200, 421, 429, 500, 503), late copies of any of them and IDs that their caller sends again, over real connections. It checks promises, executions and to which execution a response belongs.

--- a/snipegate/bench_test.go
+++ b/snipegate/bench_test.go
@@ -1,11 +1,14 @@
 package snipegate
 
 import (
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -75,3 +78,46 @@
 		})
 	}
 }
+
+// BenchmarkRefusals measures what retries cost in connections when a target refuses most
+// requests although it has a free slot: dials, retries and served requests, each per
+// request of a caller.
+func BenchmarkRefusals(b *testing.B) {
+	const refusalShare, parallelism, slots = 0.7, 1, 256
+	for _, maxAttempts := range []int{2, 3, 5} {
+		b.Run(fmt.Sprintf("attempts=%d", maxAttempts), func(b *testing.B) {
+			target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("Id", r.Header.Get("Id"))
+				if rand.Float64() < refusalShare {
+					w.Header().Set("Not-Run", "1")
+					w.WriteHeader(http.StatusServiceUnavailable)
+					return
+				}
+				w.Header().Set("Signed", "1")
+			}))
+			defer target.Close()
+			r := newTestGateAt(b, maxAttempts, target.Listener.Addr().String(), "d")
+			r.fleet.UpdateTarget(r.gate.Clock.Now(), snipefleet.TargetReport{
+				ID: "d", Service: "s", Address: target.Listener.Addr().String(), Slots: slots, Born: 2,
+			})
+			r.gate.HeaderCodec = loadDialect{load: &snipeplacement.Load{Slots: slots}}
+			pools := r.gate.Sender.(*snipeconn.Pools)
+			var requests, served atomic.Int64
+			b.SetParallelism(parallelism)
+			b.ResetTimer()
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					id := strconv.FormatInt(requests.Add(1), 10)
+					if r.callAs(id, http.MethodPost, "/", "").Code == http.StatusOK {
+						served.Add(1)
+					}
+				}
+			})
+			opened, reused := pools.Counts()
+			n := float64(b.N)
+			b.ReportMetric(float64(opened)/n, "dials/op")
+			b.ReportMetric(float64(opened+reused)/n-1, "retries/op")
+			b.ReportMetric(float64(served.Load())/n, "served/op")
+		})
+	}
+}
--- a/snipegate/gate_test.go
+++ b/snipegate/gate_test.go
@@ -93,13 +93,15 @@
 	gate   *Gate
 	sender *scriptedSender
 	fleet  *snipefleet.Registry
+	// born is the start time of the newest incarnation of a target.
+	born int64
 }
 
-func newTestGate(t *testing.T, kind snipetable.Kind, results ...sendResult) *testGate {
+func newTestGate(t testing.TB, kind snipetable.Kind, results ...sendResult) *testGate {
 	t.Helper()
 	clock := snipetime.New()
 	t.Cleanup(clock.Close)
-	r := &testGate{sender: &scriptedSender{results: results}, fleet: snipefleet.New()}
+	r := &testGate{sender: &scriptedSender{results: results}, fleet: snipefleet.New(), born: 1}
 	for _, id := range []string{"a", "b", "c"} {
 		r.fleet.UpdateTarget(clock.Now(), snipefleet.TargetReport{ID: id, Service: "s", Address: id, Slots: 4, Born: 1})
 	}
@@ -118,7 +120,7 @@
 }
 
 // newTestTable returns a version of a configuration with one route.
-func newTestTable(t *testing.T, version uint64, kind snipetable.Kind, maxAttempts int) *snipetable.Table {
+func newTestTable(t testing.TB, version uint64, kind snipetable.Kind, maxAttempts int) *snipetable.Table {
 	t.Helper()
 	table, err := snipetable.New(version, []snipetable.Route{{
 		Name: "r", Host: "h", Prefix: "/", Kind: kind, Timeout: 500 * time.Millisecond,
--- a/snipegate/lateresponse_test.go
+++ b/snipegate/lateresponse_test.go
@@ -6,50 +6,92 @@
 	"io"
 	"net"
 	"net/http"
-	"slices"
+	"strconv"
 	"sync"
 	"testing"
 
+	"pgregory.net/rapid"
+
+	"github.com/snipemoor/snipemoor/snipefleet"
 	"github.com/snipemoor/snipemoor/snipeplacement"
 )
 
-// lateTarget refuses requests, and sends each refusal once more when the next request
-// arrives over the connection. It runs the requests that it does not refuse.
+// lateStep is the response of a lateTarget to one request.
+type lateStep struct {
+	// status is that of the response. The target runs the request unless it refuses it with
+	// 421, 429 or 503.
+	status int
+	// copies are the earlier responses over the connection, modulo their number, of which
+	// late copies are sent before the response.
+	copies []int
+}
+
+// runs reports whether the target runs the request.
+func (s lateStep) runs() bool {
+	switch s.status {
+	case http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return false
+	default:
+		return true
+	}
+}
+
+// lateTarget sends late copies of the responses that it has sent before over the same
+// connection. After the last step, it refuses all requests with status 503.
 type lateTarget struct {
-	mu sync.Mutex
-	// refusals are the statuses of the next responses; after them it runs requests.
-	refusals []int
-	ran      int
+	mu    sync.Mutex
+	steps []lateStep
+	// ran is the number of requests that it has run.
+	ran int
 }
 
-// serve serves a connection whose first request has been read.
-func (l *lateTarget) serve(c net.Conn, r *bufio.Reader, _ int) {
-	var late string
+// serve serves a connection on which req has arrived.
+func (l *lateTarget) serve(c net.Conn, r *bufio.Reader, req *http.Request) {
+	var earlier []string
 	for {
-		response, refused := l.next()
-		if _, err := io.WriteString(c, late+response); err != nil {
-			return
+		step, response := l.next(req.Header.Get("Id"))
+		text := ""
+		for _, i := range step.copies {
+			if len(earlier) > 0 {
+				text += earlier[i%len(earlier)]
+			}
 		}
-		if late = ""; refused {
-			late = response
+		if _, err := io.WriteString(c, text+response); err != nil {
+			return
 		}
-		if _, err := http.ReadRequest(r); err != nil {
+		earlier = append(earlier, response)
+		next, err := http.ReadRequest(r)
+		if err != nil {
 			return
 		}
+		req = next
 	}
 }
 
-// next returns the response to the next request, and whether that is a refusal.
-func (l *lateTarget) next() (response string, refused bool) {
+// next returns the next step and the response to a request with the given ID. The body of
+// a response to a request that ran is the number of requests that ran so far.
+func (l *lateTarget) next(id string) (step lateStep, response string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.refusals) == 0 {
+	step.status = http.StatusServiceUnavailable
+	if len(l.steps) > 0 {
+		step = l.steps[0]
+		l.steps = l.steps[1:]
+	}
+	field, body := "Not-Run", ""
+	if step.runs() {
 		l.ran++
-		return "HTTP/1.1 200 OK\r\nId: 1\r\nSigned: 1\r\nContent-Length: 1\r\n\r\nx", false
+		field, body = "Signed", strconv.Itoa(l.ran)
 	}
-	status := l.refusals[0]
-	l.refusals = l.refusals[1:]
-	return fmt.Sprintf("HTTP/1.1 %d %s\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status)), true
+	return step, fmt.Sprintf("HTTP/1.1 %d %s\r\nId: %s\r\n%s: 1\r\nContent-Length: %d\r\n\r\n%s",
+		step.status, http.StatusText(step.status), id, field, len(body), body)
+}
+
+// runCount returns the number of requests that have run.
+func (l *lateTarget) runCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ran
 }
 
 // TestLateRefusal guards against a refusal with the promise that a request has not run,
@@ -71,18 +113,85 @@
 		"three entries, full in between":    {[]int{misdirected, full, misdirected, full}, []string{"d", "e", "f"}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			target := &lateTarget{refusals: slices.Clone(tc.refusals)}
+			target := &lateTarget{}
+			for _, status := range append(tc.refusals, http.StatusOK) {
+				target.steps = append(target.steps, lateStep{status, []int{0}})
+			}
 			r := newTestGateAt(t, len(tc.refusals)+1, startTarget(t, target.serve), tc.entries...)
 			r.gate.HeaderCodec = loadDialect{load: &snipeplacement.Load{Slots: 4}}
 			w := r.call(http.MethodPost, "/", "")
-			target.mu.Lock()
-			defer target.mu.Unlock()
-			if w.Code != http.StatusOK || target.ran != 1 {
-				t.Errorf("status %d, ran %d times, want 200 and once", w.Code, target.ran)
+			ran := target.runCount()
+			if w.Code != http.StatusOK || ran != 1 {
+				t.Errorf("status %d, ran %d times, want 200 and once", w.Code, ran)
 			}
-			if w.Code == http.StatusServiceUnavailable && target.ran > 0 {
+			if w.Code == http.StatusServiceUnavailable && ran > 0 {
 				t.Error("refused with the promise that it has not run")
 			}
 		})
 	}
 }
+
+// lateScenario is a sequence of requests to one address.
+type lateScenario struct {
+	maxAttempts int
+	// entries are the IDs of the targets at the address.
+	entries []string
+	steps   []lateStep
+	// ids are those of the requests; one that occurs again is sent again by its caller.
+	ids []string
+}
+
+// drawLateScenario draws a scenario.
+func drawLateScenario(t *rapid.T) lateScenario {
+	const mostAttempts, maxSteps, maxRequests, maxCopies, numEarlier = 5, 20, 8, 2, 4
+	step := rapid.Custom(func(t *rapid.T) lateStep {
+		return lateStep{
+			rapid.SampledFrom([]int{200, 421, 429, 500, 503}).Draw(t, "status"),
+			rapid.SliceOfN(rapid.IntRange(0, numEarlier-1), 0, maxCopies).Draw(t, "copies"),
+		}
+	})
+	return lateScenario{
+		maxAttempts: rapid.IntRange(1, mostAttempts).Draw(t, "attempts"),
+		entries:     []string{"d", "e", "f"}[:rapid.IntRange(1, 3).Draw(t, "entries")],
+		steps:       rapid.SliceOfN(step, 1, maxSteps).Draw(t, "steps"),
+		ids:         rapid.SliceOfN(rapid.SampledFrom([]string{"1", "2", "3"}), 1, maxRequests).Draw(t, "ids"),
+	}
+}
+
+// TestLateCopies guards against late copies that change the answer to a caller, in any
+// order of refusals of all kinds, for any number of attempts and of entries at the address,
+// and for IDs that a caller sends again: a promise that does not hold, a second execution,
+// or the answer to another attempt.
+func TestLateCopies(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := drawLateScenario(rt)
+		target := &lateTarget{steps: s.steps}
+		address := startTarget(t, target.serve)
+		r := newTestGateAt(t, s.maxAttempts, address, s.entries...)
+		r.gate.HeaderCodec = loadDialect{load: &snipeplacement.Load{Slots: 4}}
+		for i, id := range s.ids {
+			before := target.runCount()
+			w := r.callAs(id, http.MethodPost, "/", "")
+			ran := target.runCount() - before
+			switch {
+			case ran > 1:
+				rt.Fatalf("request %d ran %d times", i, ran)
+			case impliesNotRun(w.Code) && ran > 0:
+				rt.Fatalf("request %d was refused with status %d and ran", i, w.Code)
+			case w.Code == http.StatusOK && (ran != 1 || w.Body.String() != strconv.Itoa(before+1)):
+				rt.Fatalf("request %d ran %d times and got the response to execution %s", i, ran, w.Body)
+			}
+			r.restoreEntries(address, s.entries)
+		}
+	})
+}
+
+// restoreEntries reports new incarnations of the targets that were excluded.
+func (r *testGate) restoreEntries(address string, ids []string) {
+	for _, id := range ids {
+		if r.fleet.View().Target("s", id) == nil {
+			r.born++
+			r.fleet.UpdateTarget(r.gate.Clock.Now(), snipefleet.TargetReport{ID: id, Service: "s", Address: address, Slots: 4, Born: r.born})
+		}
+	}
+}
--- a/snipegate/promise_test.go
+++ b/snipegate/promise_test.go
@@ -56,7 +56,7 @@
 func TestRefusalIsTraceable(t *testing.T) {
 	const refusal = "HTTP/1.1 421 Misdirected Request\r\nId: 1\r\nResponder: other\r\nContent-Length: 0\r\n\r\n"
 	var peers []string
-	address := startTarget(t, func(c net.Conn, _ *bufio.Reader, _ int) {
+	address := startTarget(t, func(c net.Conn, _ *bufio.Reader, _ *http.Request) {
 		peers = append(peers, c.RemoteAddr().String())
 		_, _ = io.WriteString(c, refusal)
 	})
--- a/snipegate/statements_test.go
+++ b/snipegate/statements_test.go
@@ -133,9 +133,9 @@
 // first response, which has the same request ID, is then taken for the second.
 func TestDuplicateRefusal(t *testing.T) {
 	const refusal = "HTTP/1.1 503 Service Unavailable\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
-	var ran atomic.Int32
-	target := startTarget(t, func(c net.Conn, r *bufio.Reader, n int) {
-		if n == 0 {
+	var conns, ran atomic.Int32
+	target := startTarget(t, func(c net.Conn, r *bufio.Reader, _ *http.Request) {
+		if conns.Add(1) == 1 {
 			_, _ = io.WriteString(c, refusal)
 			if _, err := http.ReadRequest(r); err != nil {
 				return
@@ -159,7 +159,7 @@
 
 // newTestGateAt returns a gate that sends over connections. Its requests are not idempotent
 // and may be sent maxAttempts times. Its targets have the given IDs and all the same address.
-func newTestGateAt(t *testing.T, maxAttempts int, address string, ids ...string) *testGate {
+func newTestGateAt(t testing.TB, maxAttempts int, address string, ids ...string) *testGate {
 	t.Helper()
 	r := newTestGate(t, snipetable.NonIdempotent)
 	r.gate.Tables.UpdateIfNewer(newTestTable(t, 2, snipetable.NonIdempotent, maxAttempts))
@@ -171,7 +171,7 @@
 		r.fleet.UpdateTarget(now, snipefleet.TargetReport{ID: id, Service: "s", Address: address, Slots: 4, Born: 1})
 	}
 	r.gate.RetryBudget = func() sniperetry.BudgetSettings {
-		const retries = 100
+		const retries = 1e9
 		return sniperetry.BudgetSettings{Initial: retries, Cap: retries}
 	}
 	pools := snipeconn.New(snipeconn.Settings{})
@@ -181,8 +181,8 @@
 }
 
 // startTarget starts a target that reads a request on each connection and then calls
-// serve with the number of the connection, and returns its address.
-func startTarget(t *testing.T, serve func(c net.Conn, r *bufio.Reader, n int)) string {
+// serve with it, and returns its address.
+func startTarget(t *testing.T, serve func(c net.Conn, r *bufio.Reader, req *http.Request)) string {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -194,7 +194,7 @@
 		wg.Wait()
 	})
 	wg.Go(func() {
-		for n := 0; ; n++ {
+		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
@@ -202,8 +202,8 @@
 			wg.Go(func() {
 				defer func() { _ = c.Close() }()
 				r := bufio.NewReader(c)
-				if _, err := http.ReadRequest(r); err == nil {
-					serve(c, r, n)
+				if req, err := http.ReadRequest(r); err == nil {
+					serve(c, r, req)
 				}
 			})
 		}
