snipetarget: a connection carries no request after a refusal

Its targets speak ordinary HTTP, whose responses name no request. A late copy of a refusal (503, Snipemoor-Not-Run) over a kept connection passed for the response to the next request, of whichever caller: it was reported as not begun and ran.

A connection over which a target has refused a request is closed. Since net/http can hand a connection on before it returns a response without a body, the connection itself observes the status as it is read, and is sealed when another request gets it; nothing is written then, and net/http takes another. A trial without the close in Attempt passes too. Late copies of other responses remain indistinguishable, as in all of HTTP/1.1; they promise nothing.

TestLateShed, before: "attempt 1 is reported as not begun, and ran", with and without a body. After: passes, five times with the race detector. Cost: one dial for each refusal, under the dial rate limit of the pool. Not measured under load: targets refuse only beside the slots that they grant.

--- a/snipetarget/attempt.go
+++ b/snipetarget/attempt.go
@@ -192,6 +192,10 @@
 		return
 	}
 	t.conn, t.writtenBefore, t.reused = conn, conn.bytesWritten(), info.Reused
+	if !conn.beginAttempt() {
+		// Nothing is written, so that net/http takes another connection.
+		conn.seal(t.writtenBefore)
+	}
 }
 
 // sealConn seals the connection of a failed attempt and returns whether the
@@ -260,6 +264,7 @@
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(notRunHeader) == "1" {
 		_, _ = io.CopyN(io.Discard, body, maxShedBody)
 		_ = body.Close()
+		t.sealConn()
 		return nil, &Error{Execution: NotBegun, Cause: CauseShed, RetryAfter: retryAfter(resp.Header)}
 	}
 	return &Response{
--- a/snipetarget/conn.go
+++ b/snipetarget/conn.go
@@ -10,7 +10,8 @@
 
 // trackedConn counts the bytes that are written to the connection. Sealing it
 // rejects all later writes, so that a request of which no byte was written is
-// never sent.
+// never sent. It also observes whether a response may refuse its request: the target
+// may send such a response once more, which nothing tells from the next one.
 type trackedConn struct {
 	net.Conn
 	release func()
@@ -18,7 +19,11 @@
 	mu      sync.Mutex
 	written uint64
 	sealed  bool
-	once    sync.Once
+	// responseDue is set from the begin of an attempt until the next read, and mayRefuse if
+	// a response may have refused its request.
+	responseDue bool
+	mayRefuse   bool
+	once        sync.Once
 }
 
 // Write implements net.Conn. The bytes count as written before the system call,
@@ -34,6 +39,39 @@
 	return c.Conn.Write(p) //nolint:wrapcheck // net/http inspects errors of the connection
 }
 
+// Read implements net.Conn. net/http reuses a connection only after it has read the
+// response, so that mayRefuse is set before the next request gets the connection.
+func (c *trackedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	if c.responseDue && n > 0 {
+		c.responseDue = false
+		c.mayRefuse = c.mayRefuse || mayRefuse(p[:n])
+	}
+	c.mu.Unlock()
+	return n, err //nolint:wrapcheck // net/http inspects errors of the connection
+}
+
+// mayRefuse reports whether a response that begins with the given bytes may have the
+// status of a refusal, because it has it, is interim, or its status is not among them.
+func mayRefuse(begin []byte) bool {
+	const versionBytes, statusBytes = len("HTTP/1.1 "), 3
+	if len(begin) < versionBytes+statusBytes {
+		return true
+	}
+	status := begin[versionBytes : versionBytes+statusBytes]
+	return status[0] == '1' || string(status) == "503"
+}
+
+// beginAttempt prepares the connection for an attempt, and reports false if an earlier
+// response over it may have refused its request.
+func (c *trackedConn) beginAttempt() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.responseDue = true
+	return !c.mayRefuse
+}
+
 // Close implements net.Conn.
 func (c *trackedConn) Close() error {
 	err := c.Conn.Close()
--- a/snipetarget/doc.go
+++ b/snipetarget/doc.go
@@ -5,7 +5,9 @@
 // after the first byte was written. The error of a failed attempt states whether
 // the target may have begun the request. To decide this, each connection counts
 // the bytes that are written to it, and it rejects all writes after its attempt
-// has failed.
+// has failed. A connection over which a target has refused a request carries no
+// other: responses name no request, so that a late copy of the refusal could pass for
+// the response to it.
 //
 // Trailers are not forwarded in either direction, and a response of status 101
 // is an error, because connections are not handed to the caller.
