--- a/snipegate/statements_test.go
+++ b/snipegate/statements_test.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -16,7 +15,6 @@
 	"github.com/snipemoor/snipemoor/snipeconn"
 	"github.com/snipemoor/snipemoor/snipefleet"
 	"github.com/snipemoor/snipemoor/snipeplacement"
-	"github.com/snipemoor/snipemoor/sniperetry"
 	"github.com/snipemoor/snipemoor/snipetable"
 )
 
@@ -157,60 +155,6 @@
 	}
 }
 
-// newTestGateAt returns a gate that sends over connections. Its requests are not idempotent
-// and may be sent maxAttempts times. Its targets have the given IDs and all the same address.
-func newTestGateAt(t testing.TB, maxAttempts int, address string, ids ...string) *testGate {
-	t.Helper()
-	r := newTestGate(t, snipetable.NonIdempotent)
-	r.gate.Tables.UpdateIfNewer(newTestTable(t, 2, snipetable.NonIdempotent, maxAttempts))
-	now := r.gate.Clock.Now()
-	for _, id := range []string{"a", "b", "c"} {
-		r.fleet.RemoveTarget(now, id)
-	}
-	for _, id := range ids {
-		r.fleet.UpdateTarget(now, snipefleet.TargetReport{ID: id, Service: "s", Address: address, Slots: 4, Born: 1})
-	}
-	r.gate.RetryBudget = func() sniperetry.BudgetSettings {
-		const retries = 1e9
-		return sniperetry.BudgetSettings{Initial: retries, Cap: retries}
-	}
-	pools := snipeconn.New(snipeconn.Settings{})
-	t.Cleanup(func() { pools.CloseExpired(time.Now(), func(string) bool { return false }) })
-	r.gate.Sender = pools
-	return r
-}
-
-// startTarget starts a target that reads a request on each connection and then calls
-// serve with it, and returns its address.
-func startTarget(t *testing.T, serve func(c net.Conn, r *bufio.Reader, req *http.Request)) string {
-	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var wg sync.WaitGroup
-	t.Cleanup(func() {
-		_ = l.Close()
-		wg.Wait()
-	})
-	wg.Go(func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			wg.Go(func() {
-				defer func() { _ = c.Close() }()
-				r := bufio.NewReader(c)
-				if req, err := http.ReadRequest(r); err == nil {
-					serve(c, r, req)
-				}
-			})
-		}
-	})
-	return l.Addr().String()
-}
-
 // TestRefusalsOfRestingTargets guards against requests to a target that rests although it
 // has free slots, and against refusals with a time at which all targets still rest.
 func TestRefusalsOfRestingTargets(t *testing.T) {
