--- a/snipegate/bench_test.go
+++ b/snipegate/bench_test.go
@@ -10,19 +10,10 @@
 	"strconv"
 	"sync/atomic"
 	"testing"
-	"time"
-
-	"github.com/prometheus/client_golang/prometheus"
-	"go.uber.org/zap"
-	"golang.org/x/sync/semaphore"
 
 	"github.com/snipemoor/snipemoor/snipeconn"
 	"github.com/snipemoor/snipemoor/snipefleet"
 	"github.com/snipemoor/snipemoor/snipeplacement"
-	"github.com/snipemoor/snipemoor/snipequota"
-	"github.com/snipemoor/snipemoor/sniperetry"
-	"github.com/snipemoor/snipemoor/snipetable"
-	"github.com/snipemoor/snipemoor/snipetime"
 )
 
 // BenchmarkForward measures a request through a gate on loopback, and for comparison
@@ -34,25 +25,10 @@
 		_, _ = w.Write(make([]byte, 400))
 	}))
 	defer target.Close()
-	clock := snipetime.New()
-	defer clock.Close()
-	fleet := snipefleet.New()
-	fleet.UpdateTarget(0, snipefleet.TargetReport{ID: "a", Service: "s", Address: target.Listener.Addr().String(), Slots: 64, Born: 1})
-	table, err := snipetable.New(1, []snipetable.Route{{
-		Name: "r", Host: "h", Prefix: "/", Kind: snipetable.Idempotent, Timeout: time.Second, MaxAttempts: 1,
-		Backends: []snipetable.Backend{{Service: "s", Weight: 1}},
-	}}, []snipetable.Service{{Name: "s"}}, snipetable.Limits{})
-	if err != nil {
-		b.Fatal(err)
-	}
-	var tables snipetable.Holder
-	tables.UpdateIfNewer(table)
-	limits := snipequota.New(snipefleet.Member{Name: "f"}, fleet, zap.NewNop())
-	gate := httptest.NewServer(New(Dependencies{
-		HeaderCodec: testDialect{}, Tables: &tables, Fleet: fleet, Chooser: snipeplacement.New("f", snipefleet.Place{}, limits), Limits: limits,
-		Sender: snipeconn.New(snipeconn.Settings{}), Clock: clock, Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(), BodyMemory: semaphore.NewWeighted(1 << 20),
-		RetryBudget: func() sniperetry.BudgetSettings { return sniperetry.BudgetSettings{} },
-	}))
+	const maxAttempts, slots = 1, 64
+	r := newTestGateAt(b, maxAttempts, target.Listener.Addr().String())
+	r.fleet.UpdateTarget(0, snipefleet.TargetReport{ID: "a", Service: "s", Address: target.Listener.Addr().String(), Slots: slots, Born: 2})
+	gate := httptest.NewServer(r.gate)
 	defer gate.Close()
 	for name, address := range map[string]net.Addr{"direct": target.Listener.Addr(), "gate": gate.Listener.Addr()} {
 		b.Run(name, func(b *testing.B) {
