snipeconn: trimming of idle connections in two steps; snipegate: name OpenedSince

Found when the diff was read: trimIdle left an empty list for an address without idle connections, until CloseExpired, and the expression for OpenedSince did not say what it is.

--- a/snipeconn/pool.go
+++ b/snipeconn/pool.go
@@ -147,14 +147,23 @@
 // trimIdle closes the least recently used idle connections to an address beyond
 // maxIdleBesideNew.
 func (p *Pools) trimIdle(address string) {
+	for _, c := range p.removeExcess(address) {
+		c.discard()
+	}
+}
+
+// removeExcess removes and returns the connections that trimIdle closes.
+func (p *Pools) removeExcess(address string) []*conn {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	list := p.idle[address]
-	excess := slices.Clone(list[:max(len(list)-maxIdleBesideNew, 0)])
-	p.idle[address] = slices.Delete(list, 0, len(excess))
-	p.mu.Unlock()
-	for _, c := range excess {
-		c.discard()
+	n := len(list) - maxIdleBesideNew
+	if n <= 0 {
+		return nil
 	}
+	excess := slices.Clone(list[:n])
+	p.idle[address] = slices.Delete(list, 0, n)
+	return excess
 }
 
 // discard closes a connection that is not reused. Nothing depends on an error of
--- a/snipeconn/request.go
+++ b/snipeconn/request.go
@@ -29,8 +29,8 @@
 	// twice, whichever target it names. A request without one is sent over a connection
 	// of its own.
 	IDHeader, ID string
-	// OpenedSince excludes the connections that were opened before, to an earlier process at
-	// the address. The zero time excludes none.
+	// OpenedSince excludes the kept connections that were opened before, which may lead to
+	// an earlier process at the address. The zero time excludes none.
 	OpenedSince time.Time
 	// Deadline bounds the whole exchange, including the body of the response.
 	Deadline time.Time
--- a/snipegate/attempts.go
+++ b/snipegate/attempts.go
@@ -10,6 +10,7 @@
 
 	"github.com/snipemoor/snipemoor/snipecaller"
 	"github.com/snipemoor/snipemoor/snipeconn"
+	"github.com/snipemoor/snipemoor/snipefleet"
 	"github.com/snipemoor/snipemoor/snipeplacement"
 	"github.com/snipemoor/snipemoor/snipetable"
 )
@@ -149,6 +150,11 @@
 // worth its cost.
 const minAttemptTime = 50 * time.Millisecond
 
+// firstReported returns when this front first received a report of t.
+func (q *request) firstReported(t *snipefleet.Target) time.Time {
+	return time.Now().Add(-q.gate.Clock.Now().Sub(t.FirstReported))
+}
+
 // attempt sends the request to the chosen target once, and forwards the response if
 // it is final.
 func (q *request) attempt() attemptResult {
@@ -165,7 +171,7 @@
 		Overrides: q.gate.HeaderCodec.TargetHeaders(time.Until(q.deadline), t.ID),
 		Body:      q.body, HasBody: q.r.ContentLength != 0 || q.r.Header.Get("Content-Length") != "",
 		IDHeader: q.gate.HeaderCodec.IDHeader(), ID: q.call.ID, Deadline: q.deadline,
-		OpenedSince: sent.Add(-q.gate.Clock.Now().Sub(t.FirstReported)), Confirm: func() error { return q.confirm(t) },
+		OpenedSince: q.firstReported(t), Confirm: func() error { return q.confirm(t) },
 	})
 	if err != nil {
 		return q.handleFailure(t, sent, err)
