snipegate: name the evidence of a refusal in logs, metrics and responses

The logs could not tell the hypotheses apart.

Now each entry of notRun has the address that was asked, the time from the arrival of the request to the refusal, and whether the response names the request; the line has the number of attempts and the caller's address; a refusal of the front carries the identifier of its request, so that a caller can tell to which request it belongs; snipemoor_promises_total counts what promises rest on, and "missing" an attempt of which nothing is known.

What is sent to targets does not change. TestRefusalNamesRequest, TestPromisesAreCounted and the new fields of TestRefusalIsTraceable fail on the code before, which has none of it.

--- a/snipegate/gate.go
+++ b/snipegate/gate.go
@@ -185,7 +185,7 @@
 		fields = append(fields, zap.Duration("retryAfter", q.retryAfter))
 	}
 	if impliesNotRun(q.status) && q.route != nil {
-		fields = append(fields, zap.Array("notRun", q.notRun))
+		fields = append(fields, zap.Array("notRun", q.notRun), zap.Int("offered", q.attempts), zap.String("caller", q.r.RemoteAddr))
 	}
 	if q.refusal != nil {
 		fields = append(fields, zap.Array("looks", loggedCandidates(q.refusal.Candidates)))
@@ -194,6 +194,9 @@
 		fields = append(fields, zap.Error(q.cause))
 	}
 	g.Log.Info("request", fields...)
+	if impliesNotRun(q.status) {
+		g.Metrics.countPromise(q.notRun, q.attempts)
+	}
 	g.Metrics.observe(kind, q.outcome, elapsed)
 }
 
@@ -371,5 +374,9 @@
 func (q *request) refuse(o Outcome, retryAfter time.Duration) {
 	q.outcome = o
 	q.retryAfter = max(retryAfter, minRetryAfter)
+	if q.call.ID != "" {
+		// The caller can tell by it to which of its requests the refusal belongs.
+		q.w.Header().Set(q.gate.HeaderCodec.IDHeader(), q.call.ID)
+	}
 	q.status = writeRefusal(q.w, o, q.begun, q.retryAfter)
 }
--- a/snipegate/metrics.go
+++ b/snipegate/metrics.go
@@ -13,8 +13,18 @@
 	latency  *prometheus.HistogramVec
 	// statements counts the responses that state that their target leaves or rests.
 	statements *prometheus.CounterVec
+	// promises counts what promises rest on that a request has not run.
+	promises *prometheus.CounterVec
 }
 
+// Labels of Metrics.promises beside the reasons of notRunAttempt.
+const (
+	// promiseNotOffered means that the request was offered to no target.
+	promiseNotOffered = "notOffered"
+	// promiseMissing means that it is not known of an attempt that it has not run.
+	promiseMissing = "missing"
+)
+
 // NewMetrics returns metrics that are registered with r. It panics if metrics of the
 // same name are registered already.
 func NewMetrics(r prometheus.Registerer) *Metrics {
@@ -32,8 +42,11 @@
 		statements: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "snipemoor_target_statements_total", Help: "Responses that state that their target leaves or rests.",
 		}, []string{"statement"}),
+		promises: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "snipemoor_promises_total", Help: "What refusals rest on that promise that a request has not run, for each attempt.",
+		}, []string{"reason"}),
 	}
-	r.MustRegister(m.requests, m.retries, m.latency, m.statements)
+	r.MustRegister(m.requests, m.retries, m.latency, m.statements, m.promises)
 	return m
 }
 
@@ -48,3 +61,17 @@
 
 // countRetry counts a retry after an attempt with outcome o.
 func (m *Metrics) countRetry(o Outcome) { m.retries.WithLabelValues(string(o)).Inc() }
+
+// countPromise counts what the promise rests on that a request has not run, of which
+// offered attempts were made.
+func (m *Metrics) countPromise(attempts notRunAttempts, offered int) {
+	if offered == 0 {
+		m.promises.WithLabelValues(promiseNotOffered).Inc()
+	}
+	for _, a := range attempts {
+		m.promises.WithLabelValues(a.reason).Inc()
+	}
+	if missing := offered - len(attempts); missing > 0 {
+		m.promises.WithLabelValues(promiseMissing).Add(float64(missing))
+	}
+}
--- a/snipegate/promise_test.go
+++ b/snipegate/promise_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
@@ -75,4 +77,41 @@
 	if fields["responder"] != "other" || fields["connection"] != peers[0] || fields["earlierRequests"] != 0 || age <= 0 || age > time.Minute {
 		t.Errorf("logged %v, want the responder, and connection %s without earlier requests", fields, peers[0])
 	}
+	after, _ := fields["after"].(time.Duration)
+	if fields["address"] != address || fields["named"] != true || after <= 0 || after > time.Minute {
+		t.Errorf("logged %v, want address %s and a response that names the request", fields, address)
+	}
+}
+
+// TestRefusalNamesRequest guards against a caller that cannot tell to which of its requests
+// a refusal of the front belongs.
+func TestRefusalNamesRequest(t *testing.T) {
+	r := newTestGate(t, snipetable.NonIdempotent, failureResult(snipeconn.CauseDial, false), failureResult(snipeconn.CauseDial, false))
+	w := r.callAs("7", http.MethodPost, "/", "")
+	if got := w.Header().Get("Id"); w.Code != http.StatusServiceUnavailable || got != "7" {
+		t.Errorf("status %d with ID %q, want 503 with that of the request", w.Code, got)
+	}
+}
+
+// TestPromisesAreCounted guards against a promise that rests on nothing and that no metric
+// shows.
+func TestPromisesAreCounted(t *testing.T) {
+	stated := notRunAttempt{reason: reasonStated}
+	for name, tc := range map[string]struct {
+		attempts notRunAttempts
+		offered  int
+		want     map[string]float64
+	}{
+		"not offered": {nil, 0, map[string]float64{promiseNotOffered: 1}},
+		"stated":      {notRunAttempts{stated, stated}, 2, map[string]float64{reasonStated: 2}},
+		"one unknown": {notRunAttempts{stated}, 2, map[string]float64{reasonStated: 1, promiseMissing: 1}},
+	} {
+		m := NewMetrics(prometheus.NewRegistry())
+		m.countPromise(tc.attempts, tc.offered)
+		for _, reason := range []string{promiseNotOffered, promiseMissing, reasonStated, reasonNotSent, reasonMisaddressed} {
+			if got := testutil.ToFloat64(m.promises.WithLabelValues(reason)); got != tc.want[reason] {
+				t.Errorf("%s: %s is %v, want %v", name, reason, got, tc.want[reason])
+			}
+		}
+	}
 }
--- a/snipegate/responses.go
+++ b/snipegate/responses.go
@@ -42,7 +42,7 @@
 	if failure.MayHaveBegun {
 		return mayHaveRun
 	}
-	q.notRun = append(q.notRun, notRunAttempt{attempt: q.attempts, target: t.ID, reason: reasonNotSent})
+	q.recordNotSent(t)
 	return notSent
 }
 
