snipegate: a failing test, late refusals over another connection

What callers see: status 503, and the request has run. A server refuses a request with the statement that it has not run it; the front sends it to the same address again, over another connection; the server sends a copy of its refusal there first and runs the request. The copy has the identifier of the request, which both attempts share, so that it passes for the answer to the second attempt.

--- a/snipegate/lateresponse_test.go
+++ b/snipegate/lateresponse_test.go
@@ -39,21 +39,32 @@
 // lateTarget sends late copies of the responses that it has sent before over the same
 // connection. After the last step, it refuses all requests with status 503.
 type lateTarget struct {
+	// anyConn means that it sends a late copy of the last response to a request when the
+	// same request arrives again over any connection, instead of those of the steps.
+	anyConn bool
+
 	mu    sync.Mutex
 	steps []lateStep
 	// ran is the number of requests that it has run.
 	ran int
+	// last is the last response to each request, by its ID.
+	last map[string]string
 }
 
 // serve serves a connection on which req has arrived.
 func (l *lateTarget) serve(c net.Conn, r *bufio.Reader, req *http.Request) {
 	var earlier []string
 	for {
-		step, response := l.next(req.Header.Get("Id"))
+		id := req.Header.Get("Id")
+		step, response := l.next(id)
 		text := ""
-		for _, i := range step.copies {
-			if len(earlier) > 0 {
-				text += earlier[i%len(earlier)]
+		if l.anyConn {
+			text = l.replaceLast(id, response)
+		} else {
+			for _, i := range step.copies {
+				if len(earlier) > 0 {
+					text += earlier[i%len(earlier)]
+				}
 			}
 		}
 		if _, err := io.WriteString(c, text+response); err != nil {
@@ -87,6 +98,18 @@
 		step.status, http.StatusText(step.status), id, field, len(body), body)
 }
 
+// replaceLast records the last response to a request, and returns the one before.
+func (l *lateTarget) replaceLast(id, response string) (before string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.last == nil {
+		l.last = make(map[string]string)
+	}
+	before = l.last[id]
+	l.last[id] = response
+	return before
+}
+
 // runCount returns the number of requests that have run.
 func (l *lateTarget) runCount() int {
 	l.mu.Lock()
@@ -131,6 +154,37 @@
 	}
 }
 
+// TestLateRefusalOverAnotherConnection guards against a refusal with the promise that a
+// request has not run, although it ran in a later attempt over another connection.
+func TestLateRefusalOverAnotherConnection(t *testing.T) {
+	const full, limited, misdirected = http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusMisdirectedRequest
+	for name, tc := range map[string]struct {
+		refusals []int
+		entries  []string
+	}{
+		"one target, full":              {[]int{full}, []string{"d"}},
+		"one target, limited":           {[]int{limited}, []string{"d"}},
+		"one target, fourth attempt":    {[]int{full, limited, full}, []string{"d"}},
+		"two entries, misdirected":      {[]int{misdirected}, []string{"d", "e"}},
+		"two entries, full":             {[]int{full}, []string{"d", "e"}},
+		"three entries, third attempt":  {[]int{misdirected, full}, []string{"d", "e", "f"}},
+		"three entries, fourth attempt": {[]int{full, misdirected, limited}, []string{"d", "e", "f"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			target := &lateTarget{anyConn: true}
+			for _, status := range append(tc.refusals, http.StatusOK) {
+				target.steps = append(target.steps, lateStep{status: status})
+			}
+			r := newTestGateAt(t, len(tc.refusals)+1, startTarget(t, target.serve), tc.entries...)
+			r.gate.HeaderCodec = loadDialect{load: &snipeplacement.Load{Slots: 4}}
+			w := r.call(http.MethodPost, "/", "")
+			if ran := target.runCount(); impliesNotRun(w.Code) && ran > 0 {
+				t.Errorf("refused with status %d, and ran %d times", w.Code, ran)
+			}
+		})
+	}
+}
+
 // lateScenario is a sequence of requests to one address.
 type lateScenario struct {
 	maxAttempts int
