snipeplacement: what a request was sent to is excluded by ID and address

Cause: the targets that are not chosen again were compared as pointers. Each report that changes a target makes another *Target of it, and each entry at an address has its own.

Change: Query.Excluded excludes the targets of the same ID and all at the same address. It costs an idempotent request the retry at the next entry at an address that answered 421; it goes to another target instead.

--- a/snipeplacement/chooser.go
+++ b/snipeplacement/chooser.go
@@ -1,6 +1,7 @@
 package snipeplacement
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -69,11 +70,17 @@
 	Route *snipetable.Route
 	// Object is the affinity key.
 	Object string
-	// Excluded are the targets that are not chosen, because the request was
-	// sent to them before.
+	// Excluded are the targets that are not chosen, nor others at their addresses,
+	// because the request was sent there before.
 	Excluded []*snipefleet.Target
 }
 
+// excludes reports whether t is not chosen. It compares no pointers, because a target that
+// is reported anew is another *snipefleet.Target.
+func (q *Query) excludes(t *snipefleet.Target) bool {
+	return slices.ContainsFunc(q.Excluded, func(x *snipefleet.Target) bool { return x.ID == t.ID || x.Address == t.Address })
+}
+
 // Load is the load that a target reports in a response: the numbers of running and
 // of waiting requests, and of its slots.
 type Load struct {
