snipegate: a promise only with evidence for each attempt

What callers could see: status 503 or 408, which promise that a request has not run, although nothing shows that of one of its attempts.

Cause: Outcome.status promised unless some branch had set begun, and 408 promised always. Of the same class: the statement of a target counted whatever the response was, also without the identifier of the request, where it can be a late one to another request, and with a status of success.

No branch that forgets begun was found by reading, and no run of real processes shows this fault; it is not claimed to be the cause of the users' cases.

Change: each attempt is recorded when it begins as one that may have run; what shows that it has not run is recorded with it (nothing was written, or a response that names the request, refuses it and states so). A promise is a value that only a record without gaps returns, and only a promise has the statuses 503 and 408; all else is 502 or 504. The safe default is now 502.

--- a/snipegate/attempts.go
+++ b/snipegate/attempts.go
@@ -48,7 +48,6 @@
 		case delivered:
 			return
 		case mayHaveRun:
-			q.begun = true
 			if q.route.Kind != snipetable.Idempotent {
 				q.refuse(q.outcome, 0)
 				return
@@ -164,7 +163,7 @@
 		// The target finishes such a request even if the caller disconnects.
 		ctx = context.WithoutCancel(ctx)
 	}
-	q.attempts++
+	q.attempts.begin()
 	sent := time.Now()
 	resp, err := q.gate.Sender.Send(ctx, &snipeconn.Request{
 		Address: t.Address, Method: q.r.Method, URI: q.uri, Host: q.r.Host, Header: q.r.Header,
--- a/snipegate/gate.go
+++ b/snipegate/gate.go
@@ -176,7 +176,7 @@
 	if n := len(q.tried); n > 0 {
 		last := q.tried[n-1]
 		fields = append(fields, zap.String("target", last.ID), zap.Float64("load", q.chosen.Load), zap.Duration("loadAge", q.chosen.LoadAge),
-			zap.Bool("begun", q.begun), zap.Bool("reusedConnection", q.reused))
+			zap.Bool("begun", q.attempts.promise() == nil), zap.Bool("reusedConnection", q.reused))
 		if s, share := g.Limits.Current(last); s.Limited {
 			fields = append(fields, zap.Float64("limit", s.PerSecond), zap.Duration("limitAge", g.Clock.Now().Sub(s.At)), zap.Float64("share", share))
 		}
@@ -185,7 +185,7 @@
 		fields = append(fields, zap.Duration("retryAfter", q.retryAfter))
 	}
 	if impliesNotRun(q.status) && q.route != nil {
-		fields = append(fields, zap.Array("notRun", q.notRun), zap.Int("offered", q.attempts), zap.String("caller", q.r.RemoteAddr))
+		fields = append(fields, zap.Array("notRun", q.attempts), zap.Int("offered", len(q.attempts)), zap.String("caller", q.r.RemoteAddr))
 	}
 	if q.refusal != nil {
 		fields = append(fields, zap.Array("looks", loggedCandidates(q.refusal.Candidates)))
@@ -195,7 +195,7 @@
 	}
 	g.Log.Info("request", fields...)
 	if impliesNotRun(q.status) {
-		g.Metrics.countPromise(q.notRun, q.attempts)
+		g.Metrics.countPromise(q.attempts)
 	}
 	g.Metrics.observe(kind, q.outcome, elapsed)
 }
@@ -256,20 +256,16 @@
 	deadline time.Time
 	// tried are the targets of all attempts, in order.
 	tried []*snipefleet.Target
-	// excluded are the targets that are not chosen again.
+	// excluded are the targets that are not chosen again, nor others at their addresses.
 	excluded []*snipefleet.Target
-	// begun is set if a target can have begun to execute the request.
-	begun bool
 	// reused is set if the last attempt used a kept connection.
 	reused bool
 	// chosen is the target of the last attempt with its load when it was chosen;
 	// refusal is set if no target was available.
 	chosen  snipeplacement.Candidate
 	refusal *snipeplacement.Refusal
-	// attempts is the number of attempts, including those that were not sent.
-	attempts int
-	// notRun are the attempts that have not run.
-	notRun notRunAttempts
+	// attempts records all attempts, including those that were not sent.
+	attempts attemptRecord
 	// retryDelay is the delay before a retry by the caller that the last refusal of a
 	// target implies; zero means none.
 	retryDelay time.Duration
@@ -378,5 +374,5 @@
 		// The caller can tell by it to which of its requests the refusal belongs.
 		q.w.Header().Set(q.gate.HeaderCodec.IDHeader(), q.call.ID)
 	}
-	q.status = writeRefusal(q.w, o, q.begun, q.retryAfter)
+	q.status = writeRefusal(q.w, o, q.attempts.promise(), q.retryAfter)
 }
--- a/snipegate/metrics.go
+++ b/snipegate/metrics.go
@@ -62,16 +62,16 @@
 // countRetry counts a retry after an attempt with outcome o.
 func (m *Metrics) countRetry(o Outcome) { m.retries.WithLabelValues(string(o)).Inc() }
 
-// countPromise counts what the promise rests on that a request has not run, of which
-// offered attempts were made.
-func (m *Metrics) countPromise(attempts notRunAttempts, offered int) {
-	if offered == 0 {
+// countPromise counts what a promise rests on, for each attempt.
+func (m *Metrics) countPromise(attempts attemptRecord) {
+	if len(attempts) == 0 {
 		m.promises.WithLabelValues(promiseNotOffered).Inc()
 	}
 	for _, a := range attempts {
-		m.promises.WithLabelValues(a.reason).Inc()
-	}
-	if missing := offered - len(attempts); missing > 0 {
-		m.promises.WithLabelValues(promiseMissing).Add(float64(missing))
+		reason := promiseMissing
+		if a != nil {
+			reason = a.reason
+		}
+		m.promises.WithLabelValues(reason).Inc()
 	}
 }
--- a/snipegate/outcome.go
+++ b/snipegate/outcome.go
@@ -34,24 +34,22 @@
 	OutcomeUnsigned        Outcome = "answerUnsigned"
 )
 
-// status returns the status code of a response that the front itself generates.
-// begun states whether a target can have begun the request, which rules out 503.
-func (o Outcome) status(begun bool) int {
+// status returns the status code of a response that the front itself generates. p is the
+// promise that the request has not run, or nil if a target may have begun it.
+func (o Outcome) status(p *promise) int {
 	switch o {
 	case OutcomeNoRoute:
 		return http.StatusNotFound
 	case OutcomeNoID, OutcomeBodyBroken:
 		return http.StatusBadRequest
-	case OutcomeBodyTimeout:
-		return http.StatusRequestTimeout
 	case OutcomeBodyTooLarge:
 		return http.StatusRequestEntityTooLarge
 	default:
 	}
 	switch {
-	case !begun:
-		return http.StatusServiceUnavailable
-	case o == OutcomeTimeout:
+	case p != nil:
+		return p.status(o)
+	case o == OutcomeTimeout, o == OutcomeBodyTimeout:
 		return http.StatusGatewayTimeout
 	default:
 		return http.StatusBadGateway
@@ -60,8 +58,8 @@
 
 // writeRefusal writes a response of the front itself and returns its status code. A
 // 503 has a Retry-After header in seconds with three decimals.
-func writeRefusal(w http.ResponseWriter, o Outcome, begun bool, retryAfter time.Duration) int {
-	status := o.status(begun)
+func writeRefusal(w http.ResponseWriter, o Outcome, p *promise, retryAfter time.Duration) int {
+	status := o.status(p)
 	h := w.Header()
 	if status == http.StatusServiceUnavailable {
 		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
--- a/snipegate/promise.go
+++ b/snipegate/promise.go
@@ -1,6 +1,8 @@
 package snipegate
 
 import (
+	"net/http"
+	"slices"
 	"time"
 
 	"go.uber.org/zap/zapcore"
@@ -35,8 +37,6 @@
 // refusalResponse describes a response that refuses a request.
 type refusalResponse struct {
 	status int
-	// named means that the response carries the identifier of the request.
-	named bool
 	// responder is the ID that the response states for the target that sent it, or empty.
 	responder string
 	// localAddr is the local address of the connection, age the time since it was opened,
@@ -47,7 +47,7 @@
 }
 
 // MarshalLogObject implements zapcore.ObjectMarshaler.
-func (a notRunAttempt) MarshalLogObject(e zapcore.ObjectEncoder) error {
+func (a *notRunAttempt) MarshalLogObject(e zapcore.ObjectEncoder) error {
 	e.AddInt("attempt", a.attempt)
 	e.AddString("target", a.target)
 	e.AddString("address", a.address)
@@ -57,7 +57,6 @@
 		return nil
 	}
 	e.AddInt("status", a.response.status)
-	e.AddBool("named", a.response.named)
 	e.AddString("responder", a.response.responder)
 	e.AddString("connection", a.response.localAddr)
 	e.AddDuration("connectionAge", a.response.age)
@@ -65,13 +64,37 @@
 	return nil
 }
 
-// notRunAttempts are the attempts on which a promise rests that a request has not run. If
-// there are none, the request was offered to no target.
-type notRunAttempts []notRunAttempt
+// attemptRecord holds for each attempt of a request, in order, what shows that it has not
+// run, or nil if nothing does.
+type attemptRecord []*notRunAttempt
 
-// MarshalLogArray implements zapcore.ArrayMarshaler.
-func (l notRunAttempts) MarshalLogArray(e zapcore.ArrayEncoder) error {
-	for _, a := range l {
+// begin records an attempt that is made now. It counts as one that may have run until
+// settle is called.
+func (r *attemptRecord) begin() { *r = append(*r, nil) }
+
+// settle records what shows that the last attempt has not run. It sets the number of the
+// attempt.
+func (r attemptRecord) settle(a notRunAttempt) {
+	a.attempt = len(r)
+	r[len(r)-1] = &a
+}
+
+// promise returns the promise that the request has not run, or nil if an attempt may have
+// run.
+func (r attemptRecord) promise() *promise {
+	if slices.Contains(r, nil) {
+		return nil
+	}
+	return &promise{attempts: r}
+}
+
+// MarshalLogArray implements zapcore.ArrayMarshaler. It encodes the attempts that have not
+// run.
+func (r attemptRecord) MarshalLogArray(e zapcore.ArrayEncoder) error {
+	for _, a := range r {
+		if a == nil {
+			continue
+		}
 		if err := e.AppendObject(a); err != nil {
 			return err //nolint:wrapcheck // an encoder returns its own errors
 		}
@@ -79,23 +102,40 @@
 	return nil
 }
 
-// recordNotSent records an attempt of which nothing was written.
-func (q *request) recordNotSent(t *snipefleet.Target) {
-	q.recordNotRun(t, reasonNotSent, nil)
+// promise is the guarantee that a request has not run and never will. attemptRecord.promise
+// returns it. A request without attempts was offered to no target.
+type promise struct{ attempts attemptRecord }
+
+// status returns the status code with which the front gives the promise.
+func (*promise) status(o Outcome) int {
+	if o == OutcomeBodyTimeout {
+		return http.StatusRequestTimeout
+	}
+	return http.StatusServiceUnavailable
 }
 
-// recordRefusal records an attempt whose response states that it has not run.
-func (q *request) recordRefusal(t *snipefleet.Target, reason string, h ResponseHeaders, resp *snipeconn.Response) {
-	q.recordNotRun(t, reason, &refusalResponse{
-		status: resp.Status, named: resp.Header.Get(q.gate.HeaderCodec.IDHeader()) == q.call.ID, responder: h.Responder,
-		localAddr: resp.LocalAddr(), age: time.Since(resp.ConnOpened()), earlier: resp.EarlierRequests(),
-	})
+// settleNotSent records that nothing of the last attempt, at t, was written.
+func (q *request) settleNotSent(t *snipefleet.Target) {
+	q.attempts.settle(notRunAttempt{target: t.ID, address: t.Address, reason: reasonNotSent, after: time.Since(q.arrived)})
 }
 
-// recordNotRun records that the last attempt, at t, has not run. response is nil if nothing
-// was written.
-func (q *request) recordNotRun(t *snipefleet.Target, reason string, response *refusalResponse) {
-	q.notRun = append(q.notRun, notRunAttempt{
-		attempt: q.attempts, target: t.ID, address: t.Address, reason: reason, after: time.Since(q.arrived), response: response,
+// settleRefused records that the last attempt, at t, has not run, as the response says. It
+// returns false if the response does not show that.
+func (q *request) settleRefused(t *snipefleet.Target, h ResponseHeaders, resp *snipeconn.Response) bool {
+	named := resp.Header.Get(q.gate.HeaderCodec.IDHeader()) == q.call.ID
+	if !h.NotRun || !named || resp.Status < http.StatusBadRequest {
+		return false
+	}
+	reason := reasonStated
+	if h.WrongTarget {
+		reason = reasonMisaddressed
+	}
+	q.attempts.settle(notRunAttempt{
+		target: t.ID, address: t.Address, reason: reason, after: time.Since(q.arrived),
+		response: &refusalResponse{
+			status: resp.Status, responder: h.Responder,
+			localAddr: resp.LocalAddr(), age: time.Since(resp.ConnOpened()), earlier: resp.EarlierRequests(),
+		},
 	})
+	return true
 }
--- a/snipegate/responses.go
+++ b/snipegate/responses.go
@@ -42,7 +42,7 @@
 	if failure.MayHaveBegun {
 		return mayHaveRun
 	}
-	q.recordNotSent(t)
+	q.settleNotSent(t)
 	return notSent
 }
 
@@ -60,21 +60,8 @@
 		defer func() { q.recordStreamEnd(t, result) }()
 	}
 	switch {
-	case s.WrongTarget:
-		q.gate.Fleet.MarkMisaddressed(t)
-		q.recordRefusal(t, reasonMisaddressed, s, resp)
-		q.outcome = OutcomeTargetRefused
-		return notRun
 	case s.NotRun:
-		q.recordRefusal(t, reasonStated, s, resp)
-		q.outcome, q.retryDelay = OutcomeTargetRefused, fullTargetRetryDelay
-		if hasFreeSlot(s.Load) && s.Rest == 0 {
-			// The refusal is temporary, since the target has a free slot: it
-			// remains a candidate, because it probably has the object cached.
-			q.excluded = q.excluded[:len(q.excluded)-1]
-			q.retryDelay = minRetryAfter
-		}
-		return notRun
+		return q.handleRefusal(t, s, resp)
 	case resp.Status < http.StatusMultipleChoices && !s.Signed:
 		q.outcome = OutcomeUnsigned
 		return mayHaveRun
@@ -92,6 +79,27 @@
 	return delivered
 }
 
+// handleRefusal handles a response that states that the target has not run the request.
+func (q *request) handleRefusal(t *snipefleet.Target, s ResponseHeaders, resp *snipeconn.Response) attemptResult {
+	if !q.settleRefused(t, s, resp) {
+		q.outcome = OutcomeTargetFailed
+		return mayHaveRun
+	}
+	q.outcome = OutcomeTargetRefused
+	if s.WrongTarget {
+		q.gate.Fleet.MarkMisaddressed(t)
+		return notRun
+	}
+	q.retryDelay = fullTargetRetryDelay
+	if hasFreeSlot(s.Load) && s.Rest == 0 {
+		q.retryDelay = minRetryAfter
+		// The refusal is temporary, since the target has a free slot: it
+		// remains a candidate, because it probably has the object cached.
+		q.excluded = q.excluded[:len(q.excluded)-1]
+	}
+	return notRun
+}
+
 // recordStreamEnd reports the result of a streamed response to the chooser. The load
 // in the headers is left out, because it is as old as the start of the response.
 func (q *request) recordStreamEnd(t *snipefleet.Target, result snipeplacement.Result) {
@@ -128,7 +136,6 @@
 		q.forward(resp)
 		return delivered
 	}
-	q.begun = true
 	q.reportRetry()
 	if result := q.attempt(); result != delivered {
 		q.forward(resp)
