snipegate: a request that is not idempotent is sent to each address once

A target refused a request with the statement that it has not run it, got it again over another connection, sent a copy of the refusal there first, and ran it.

Cause: the identifier tells requests apart and not attempts, wherever they go. A refusal with a free slot was tried again at the same target.

Ruled out: a dial for each retry (the copy comes over a new connection as well); to skip a copy by its time or its connection (nothing on the wire tells it apart).

Change: only an idempotent request is tried again at a target that refused it with a free slot; there a false refusal costs one answer and breaks no promise. Any other goes to another address or is refused.

--- a/snipegate/responses.go
+++ b/snipegate/responses.go
@@ -93,13 +93,20 @@
 	q.retryDelay = fullTargetRetryDelay
 	if hasFreeSlot(s.Load) && s.Rest == 0 {
 		q.retryDelay = minRetryAfter
-		// The refusal is temporary, since the target has a free slot: it
-		// remains a candidate, because it probably has the object cached.
-		q.excluded = q.excluded[:len(q.excluded)-1]
+		q.allowTemporarilyRefused()
 	}
 	return notRun
 }
 
+// allowTemporarilyRefused makes the last target a candidate again, because it probably has
+// the object cached. A late copy of its refusal can then pass for the response to the next
+// attempt, which an idempotent request survives.
+func (q *request) allowTemporarilyRefused() {
+	if q.route.Kind == snipetable.Idempotent {
+		q.excluded = q.excluded[:len(q.excluded)-1]
+	}
+}
+
 // recordStreamEnd reports the result of a streamed response to the chooser. The load
 // in the headers is left out, because it is as old as the start of the response.
 func (q *request) recordStreamEnd(t *snipefleet.Target, result snipeplacement.Result) {
