snipegate: remember where a request was refused, for callers that send it again

What callers see: a request that was refused with a promise, that its caller sends again with the same identifier, is refused once more and has run. The users' callers take a new identifier; nothing keeps others from sending the same one.

What the identifier cannot tell apart are the responses to all requests that carry it, and a front forgot at the end of a request where it had been refused.

Not covered: another front, or the same after a restart, knows nothing of it.

--- a/snipegate/gate.go
+++ b/snipegate/gate.go
@@ -107,6 +107,7 @@
 	Dependencies
 	// stopping is nil until BeginStop is called.
 	stopping atomic.Pointer[StopSchedule]
+	refusals *refusalMemory
 
 	mu      sync.Mutex
 	budgets map[string]*sniperetry.Budget
@@ -114,7 +115,7 @@
 
 // New returns a gate that uses the given components.
 func New(d Dependencies) *Gate {
-	return &Gate{Dependencies: d, budgets: make(map[string]*sniperetry.Budget)}
+	return &Gate{Dependencies: d, refusals: newRefusalMemory(), budgets: make(map[string]*sniperetry.Budget)}
 }
 
 // StopSchedule is the schedule of a graceful stop.
