--- a/snipetrace/attempt.go
+++ b/snipetrace/attempt.go
@@ -42,7 +42,8 @@
 	Unnamed bool
 	// Connection is the local address of the connection, or empty if it is not known.
 	Connection string
-	// EarlierRequests is the number of requests that were sent over the connection before.
+	// EarlierRequests is the number of requests that were sent over the connection before, or
+	// -1 if that is not known.
 	EarlierRequests int
 	// Began and Ended are when the attempt began and when its end was known. They are zero
 	// if that is not known.
@@ -95,7 +96,10 @@
 		fmt.Fprintf(&b, ", known at %s", a.Ended.UTC().Format(clockFormat))
 	}
 	if a.Connection != "" {
-		fmt.Fprintf(&b, ", connection %s (%d earlier requests)", a.Connection, a.EarlierRequests)
+		fmt.Fprintf(&b, ", connection %s", a.Connection)
+		if a.EarlierRequests >= 0 {
+			fmt.Fprintf(&b, " (%d earlier requests)", a.EarlierRequests)
+		}
 	}
 	return b.String()
 }
--- a/snipetrace/offer.go
+++ b/snipetrace/offer.go
@@ -104,7 +104,7 @@
 	if o.end == nil {
 		return fmt.Sprintf("%s: no line about the end of the request", o.front)
 	}
-	text := fmt.Sprintf("%s: arrived %s, outcome %s, status %d, offered %d times",
+	text := fmt.Sprintf("%s: arrived %s, outcome %s, status %d, offered %d",
 		o.front, o.end.ended.Add(-o.end.took).UTC().Format(clockFormat), o.end.outcome, o.end.status, o.end.offered)
 	if o.end.caller != "" {
 		text += ", caller " + o.end.caller
--- a/snipetrace/record.go
+++ b/snipetrace/record.go
@@ -28,7 +28,7 @@
 type Response struct {
 	// Request is the ID of the request that the caller sent.
 	Request string
-	// Status is the status of the response.
+	// Status is the status of the response, or zero if no whole response arrived.
 	Status int
 	// Names is the ID of the request that the response names, or empty if that is not known.
 	Names string
--- a/snipetrace/tracer.go
+++ b/snipetrace/tracer.go
@@ -13,6 +13,8 @@
 	// ClockTolerance is by how much the clocks of targets and fronts may differ. Zero means
 	// 10 ms.
 	ClockTolerance time.Duration
+	// Requests are the IDs of requests that can be traced without a record or a response.
+	Requests []string
 }
 
 const defaultClockTolerance = 10 * time.Millisecond
@@ -20,6 +22,8 @@
 // Tracer finds out why requests ran. It is not safe for concurrent use.
 type Tracer struct {
 	tolerance time.Duration
+	// requests are the IDs of the requests that can be traced.
+	requests map[string]bool
 	// records, responses and offers are those of each request, by its ID.
 	records   map[string][]Record
 	responses map[string][]Response
@@ -31,20 +35,25 @@
 	dropped, unreadable int
 }
 
-// New returns a Tracer of the requests in records and responses.
+// New returns a Tracer of the requests in records, in responses and in s.Requests.
 func New(s Settings, records []Record, responses []Response) *Tracer {
 	t := &Tracer{
-		tolerance: s.ClockTolerance, records: make(map[string][]Record), responses: make(map[string][]Response),
+		tolerance: s.ClockTolerance, requests: make(map[string]bool), records: make(map[string][]Record), responses: make(map[string][]Response),
 		offers: make(map[string][]*offer), addresses: make(map[string]string),
 	}
 	if t.tolerance == 0 {
 		t.tolerance = defaultClockTolerance
 	}
+	for _, id := range s.Requests {
+		t.requests[id] = true
+	}
 	for _, r := range records {
+		t.requests[r.Request] = true
 		t.records[r.Request] = append(t.records[r.Request], r)
 		t.addAddress(r.Target, r.Address)
 	}
 	for _, r := range responses {
+		t.requests[r.Request] = true
 		t.responses[r.Request] = append(t.responses[r.Request], r)
 	}
 	return t
@@ -101,7 +110,7 @@
 		n, _, err := p.integer("count")
 		t.dropped += n
 		return err
-	case !t.concerns(id):
+	case !t.requests[id]:
 		return nil
 	case p["event"] == eventRetry:
 		l, err := parseRetryLine(p)
@@ -120,16 +129,13 @@
 	return nil
 }
 
-// concerns reports whether there is a record or a response of a request.
-func (t *Tracer) concerns(id string) bool { return len(t.records[id]) > 0 || len(t.responses[id]) > 0 }
-
-// RefusedAndRan returns the sorted IDs of the requests that a target ran although the last
-// response to their caller promises that they had not run. Of a request without a response
-// in the records, the last line in the logs counts.
+// RefusedAndRan returns the sorted IDs of the requests that were refused with a promise and
+// ran more often than other responses to their callers allow. Of a request without a response
+// in the records, the lines in the logs count.
 func (t *Tracer) RefusedAndRan() []string {
 	var ids []string
 	for id := range t.records {
-		if len(t.runs(id)) > 0 && t.refused(id) {
+		if promises, others := t.told(id); promises > 0 && len(t.runs(id)) > others {
 			ids = append(ids, id)
 		}
 	}
@@ -137,13 +143,26 @@
 	return ids
 }
 
-// refused reports whether the caller of a request was told last that it had not run.
-func (t *Tracer) refused(id string) bool {
-	if responses := t.responses[id]; len(responses) > 0 {
-		return PromisesNotRun(responses[len(responses)-1].Status)
+// told returns how often the caller of a request was told that it had not run, and how often
+// something else or nothing.
+func (t *Tracer) told(id string) (promises, others int) {
+	count := func(promised bool) {
+		if promised {
+			promises++
+		} else {
+			others++
+		}
+	}
+	for _, r := range t.responses[id] {
+		count(PromisesNotRun(r.Status))
+	}
+	if len(t.responses[id]) > 0 {
+		return promises, others
+	}
+	for _, o := range t.offers[id] {
+		count(o.promised())
 	}
-	offers := t.sortedOffers(id)
-	return len(offers) > 0 && offers[len(offers)-1].promised()
+	return promises, others
 }
 
 // runs returns the records of a request that ran, in order of time.
--- a/snipetrace/verdict.go
+++ b/snipetrace/verdict.go
@@ -118,8 +118,12 @@
 
 // String returns the response as one line.
 func (r Response) String() string {
-	if r.Names == "" {
+	switch {
+	case r.Status == 0:
+		return "caller received no whole response"
+	case r.Names == "":
 		return fmt.Sprintf("caller received status %d", r.Status)
+	default:
+		return fmt.Sprintf("caller received status %d for request %s", r.Status, r.Names)
 	}
-	return fmt.Sprintf("caller received status %d for request %s", r.Status, r.Names)
 }
