--- a/snipecli/commands.go
+++ b/snipecli/commands.go
@@ -16,6 +16,7 @@
 	Status   statusCommand   `cmd:"" help:"Show the status of an instance: fleet members, positions, limits and slot groups."`
 	Lookup   lookupCommand   `cmd:"" help:"Show which entry instances serve a client block."`
 	Load     loadCommand     `cmd:"" help:"Send requests to a service at a given rate, as its callers do."`
+	Trace    traceCommand    `cmd:"" help:"Find out why requests ran that were refused as not run, from logs and records."`
 	Demo     demoCommand     `cmd:"" help:"Run an example deployment on loopback and check its guarantees."`
 	Version  versionCommand  `cmd:"" help:"Show the version of this program."`
 }
