snipetrace: count withdrawn attempts

The field attempts leaves out attempts that were withdrawn because their target left, so that the retry lines of the request did not fit its attempts and were ignored.

Change: without the field offered, retry lines of withdrawn attempts count. Retry lines are also used if there is one for the last attempt, after which no target was found.

--- a/snipetrace/attempt.go
+++ b/snipetrace/attempt.go
@@ -58,16 +58,20 @@
 // evidenceOfRetry returns the evidence for an attempt after which a front sent the request
 // once more for the given reason.
 func evidenceOfRetry(reason string) Evidence {
-	switch reason {
-	case "targetRefused":
+	switch {
+	case reason == "targetRefused":
 		return EvidenceStated
-	case "targetUnreachable", "targetLeft", "targetsResting":
+	case reason == "targetUnreachable", isWithdrawal(reason):
 		return EvidenceNotSent
 	default:
 		return EvidenceNone
 	}
 }
 
+// isWithdrawal reports whether the reason of a retry is that the attempt was withdrawn before
+// anything was sent.
+func isWithdrawal(reason string) bool { return reason == "targetLeft" || reason == "targetsResting" }
+
 // clockFormat is the form of the times in a verdict.
 const clockFormat = "15:04:05.000000"
 
--- a/snipetrace/line.go
+++ b/snipetrace/line.go
@@ -21,8 +21,10 @@
 	// ended is when the request ended, and took the time since its arrival.
 	ended time.Time
 	took  time.Duration
-	// offered is the number of attempts.
-	offered int
+	// offered is the number of attempts. If it comes from the field attempts, it leaves out
+	// those that were withdrawn.
+	offered            int
+	leavesOutWithdrawn bool
 	// notRun are the attempts of which the front knows that they have not run.
 	notRun []Attempt
 	// caller is the address of the caller's connection, or empty if the line is of an older
@@ -55,6 +57,8 @@
 	if l.offered, err = offeredAttempts(p); err != nil {
 		return nil, err
 	}
+	_, exact := p["offered"]
+	l.leavesOutWithdrawn = !exact
 	list, found := p["notRun"]
 	if !found {
 		return l, nil
@@ -65,7 +69,8 @@
 	return l, nil
 }
 
-// offeredAttempts returns the number of attempts. Older fronts state it as attempts only.
+// offeredAttempts returns the number of attempts. Older fronts, and lines without a promise,
+// state it as attempts only.
 func offeredAttempts(p pairs) (int, error) {
 	n, found, err := p.integer("offered")
 	if !found && err == nil {
--- a/snipetrace/offer.go
+++ b/snipetrace/offer.go
@@ -14,31 +14,47 @@
 // describe. end is nil if the log has none.
 func newOffer(front string, retries []*retryLine, end *requestLine) *offer {
 	o := &offer{front: front, end: end}
-	n := len(retries)
-	if end != nil {
-		n = max(end.offered, n)
-		for _, a := range end.notRun {
-			n = max(n, a.Number)
-		}
-	}
+	n := attemptCount(retries, end)
 	o.attempts = make([]Attempt, n)
 	for i := range o.attempts {
 		o.attempts[i] = Attempt{Front: front, Number: i + 1}
 	}
-	if end == nil || len(retries) == n-1 {
-		o.addRetries(retries)
-	}
 	if end != nil {
 		o.addEnd()
 	}
+	// Fewer retry lines mean that some were dropped, and it is not known which.
+	if len(retries) >= n-1 {
+		o.addRetries(retries)
+	}
+	if o.promised() {
+		o.addEvidence()
+	}
 	for i := 1; i < n; i++ {
 		o.attempts[i].Began = o.attempts[i-1].Ended
 	}
 	return o
 }
 
+// attemptCount returns the number of attempts.
+func attemptCount(retries []*retryLine, end *requestLine) int {
+	if end == nil {
+		return len(retries)
+	}
+	n := end.offered
+	for _, r := range retries {
+		if end.leavesOutWithdrawn && isWithdrawal(r.reason) {
+			n++
+		}
+	}
+	n = max(n, len(retries))
+	for _, a := range end.notRun {
+		n = max(n, a.Number)
+	}
+	return n
+}
+
 // addRetries sets what the retry lines tell of the attempts. There is one line after each
-// attempt but the last.
+// attempt, but not always after the last.
 func (o *offer) addRetries(retries []*retryLine) {
 	for i, r := range retries {
 		a := &o.attempts[i]
@@ -56,9 +72,6 @@
 	if o.end.outcome == string(EvidenceAnswered) {
 		last.Evidence = EvidenceAnswered
 	}
-	if o.promised() {
-		o.addEvidence()
-	}
 	o.attempts[0].Began = o.end.ended.Add(-o.end.took)
 }
 
--- a/snipetrace/verdict_test.go
+++ b/snipetrace/verdict_test.go
@@ -40,6 +40,8 @@
 	notOffered  = timeOfEnd + `event=request request=r1 outcome=targetsFull status=503 took=10ms attempts=0 notRun=[] offered=0 caller=127.0.0.1:9`
 	answered    = `time=2026-12-06T08:00:00.05Z level=info event=request request=r1 outcome=answered status=200 took=10ms attempts=1 target=t6`
 	answerLost  = `time=2026-12-06T08:00:00.05Z level=info event=request request=r1 outcome=answerLost status=502 took=10ms attempts=1 target=t1`
+	secondRetry = "time=2026-12-06T08:00:00.009Z level=info event=retry request=r1 reason=targetRefused target=t1 reusedConnection=true"
+	withdrawal  = "time=2026-12-06T08:00:00.04Z level=info event=retry request=r1 reason=targetLeft target=t1 reusedConnection=true"
 	lostRetry   = "time=2026-12-06T08:00:00.042Z level=info event=retry request=r1 reason=answerLost target=t1 reusedConnection=true"
 	otherLine   = timeOfEnd + "event=request request=r2 outcome=answered status=200 took=1ms attempts=1 target=t1"
 	droppedLine = `event="log lines dropped" count=7`
@@ -134,6 +136,17 @@
 			[]snipetrace.Response{{Request: "r1", Status: 503}, {Request: "r1", Status: 200}},
 			snipetrace.CopyOtherConnection,
 		},
+		"twice: refused, run, withdrawn and answered": {
+			[]string{oldRetry, secondRetry, withdrawal, strings.Replace(answered, "attempts=1", "attempts=3", 1)},
+			[]snipetrace.Record{ran("t1", 3*ms), ran("t6", 45*ms)},
+			[]snipetrace.Response{{Request: "r1", Status: 200}},
+			snipetrace.CopyOtherConnection,
+		},
+		"no target for a third attempt": {
+			[]string{oldRetry, secondRetry, oldCopy},
+			[]snipetrace.Record{ran("t1", 8*ms)},
+			promised, snipetrace.CopyOtherConnection,
+		},
 		"twice: retried without evidence": {
 			[]string{lostRetry, strings.Replace(answered, "attempts=1", "attempts=2", 1)},
 			[]snipetrace.Record{ran("t1", 41*ms), ran("t6", 45*ms)},
