--- a/cmd/snipemoorsoak/main.go
+++ b/cmd/snipemoorsoak/main.go
@@ -8,13 +8,16 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/alecthomas/kong"
 
 	"github.com/snipemoor/snipemoor/platform/soak"
+	"github.com/snipemoor/snipemoor/snipetrace"
 )
 
 type options struct {
@@ -68,7 +71,8 @@
 	return status
 }
 
-// printResult writes one line for a seed, and one for each violation.
+// printResult writes one line for a seed, and for each violation one with its verdict, if
+// there is one, below it.
 func printResult(seed uint64, r *soak.Result) {
 	// A write error cannot be reported anywhere else.
 	_, _ = fmt.Fprintf(os.Stdout, "seed %d: served %d, refused %d, failed %d, violations %d\n",
@@ -76,6 +80,20 @@
 	for _, violation := range r.Violations {
 		_, _ = fmt.Fprintln(os.Stdout, "  "+violation)
 	}
+	printVerdicts(r.Verdicts)
+}
+
+// printVerdicts writes one line with the number of verdicts for each hypothesis, unless there
+// are none.
+func printVerdicts(verdicts []*snipetrace.Verdict) {
+	counts := make(map[snipetrace.Hypothesis]int)
+	for _, v := range verdicts {
+		counts[v.Hypothesis()]++
+	}
+	for _, h := range slices.Sorted(maps.Keys(counts)) {
+		// A write error cannot be reported anywhere else.
+		_, _ = fmt.Fprintf(os.Stdout, "  %d of %d verdicts: %s (%s)\n", counts[h], len(verdicts), h, h.Meaning())
+	}
 }
 
 // printError writes an error to standard error.
