snipeforward: a once request is not repeated after a refusal by an unnamed target

What callers could see: outcome not-run for a request of class once that a target has run, up to three times.

Responses of the daemon's targets name no request, so that a copy of a refusal can pass for the response to a later attempt at the same target. The daemon excludes the targets that refused a request. If the stream of a relayed attempt is lost, the refusal is known from the status of the attempt only, which does not name the target: it was asked again.

No run of real processes shows it.

Ruled out: the target's name in the status, which needs a field in the stored results; an exclusion of all targets of the place, which refuses as well if there is no other place.

Change: after such a status a request of class once is refused as not-run. Other classes are repeated as before. Cost: callers whose relay stream is lost between the refusal and its receipt, and who were refused without a target too (no slot), come back themselves; not measured on a load, since no test or benchmark loses streams at that point.

--- a/snipeforward/remote.go
+++ b/snipeforward/remote.go
@@ -144,6 +144,9 @@
 		failed.kind = sniperetry.RelayRefused
 	case status.State == snipeonce.Finished && status.Result.Outcome == snipeonce.OutcomeNotRun:
 		failed.kind = sniperetry.RelayRefused
+		// A target may have refused the attempt, and the status does not name it. A
+		// late copy of its refusal could pass for the response to another attempt.
+		failed.permanent = failed.permanent || q.class == sniperetry.Once
 	case status.State == snipeonce.Finished && status.Result.Response != nil:
 		return responseFromRecord(status.Result.Response), nil
 	}
--- a/snipeforward/request.go
+++ b/snipeforward/request.go
@@ -43,7 +43,8 @@
 	reason string
 	reply  errorReply
 	target string
-	// permanent is set if another attempt would fail in the same way.
+	// permanent is set if another attempt would fail in the same way or must not be
+	// made.
 	permanent bool
 	// otherMayHaveBegun is set if a target may have begun the other one of two
 	// concurrent attempts, which failed too.
--- a/snipeforward/support_test.go
+++ b/snipeforward/support_test.go
@@ -51,6 +51,8 @@
 	// issuerPeer is the instance to which requests of other issuers are relayed,
 	// or "" for the issuer itself.
 	issuerPeer string
+	// wrapStream replaces the streams of relayed requests, unless it is nil.
+	wrapStream func(RelayStream) RelayStream
 	fleet      map[string]*instance
 	claims     *sync.Map
 
@@ -77,8 +79,10 @@
 	next uint64
 	// joinRelays counts the requests that were relayed to their issuer.
 	joinRelays int
-	waiters    map[snipeonce.Waiter]chan snipeonce.Result
-	policy     *sniperetry.Policy
+	// endedAttempts counts the attempts for other instances that have ended.
+	endedAttempts int
+	waiters       map[snipeonce.Waiter]chan snipeonce.Result
+	policy        *sniperetry.Policy
 }
 
 var (
@@ -287,6 +291,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if i.wrapStream != nil {
+		return i.wrapStream(s), nil
+	}
 	return s, nil
 }
 
@@ -391,6 +398,10 @@
 
 func (r testRecords) FinishAttempt(id snipeonce.AttemptID, result snipeonce.Result) {
 	r.relayedAttempts.Finish(id, result, r.clock.Now())
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.endedAttempts++
+	r.changed.Broadcast()
 }
 
 func newLog(w io.Writer) *log.Logger { return log.New(w, "", 0) }
