snipeforward: not-run only after a failure that shows it

What callers could see: outcome not-run after an attempt whose failure does not show that the target has not begun the request.

Cause: classifyError took a failure for a failed dial unless its Execution was MaybeBegun, and a refusal for one without a look at Execution. An error that leaves Execution out promised by default.

No run of real processes shows a fault of this kind.

Change: only Execution NotBegun makes an attempt one that has not begun, for refusals too; the default is a lost connection, which ends in unknown.

--- a/snipeforward/local.go
+++ b/snipeforward/local.go
@@ -111,9 +111,10 @@
 	if !errors.As(err, &e) {
 		return &failure{kind: sniperetry.ConnectionLost, reason: reasonTargetFailed}, AttemptFailed
 	}
-	failed := &failure{kind: sniperetry.DialFailed, reason: "dialFailed", reply: errorReply{retryAfter: e.RetryAfter, detail: string(e.Cause)}}
-	if e.Execution == snipetarget.MaybeBegun {
-		failed.kind, failed.reason = sniperetry.ConnectionLost, "connectionLost"
+	failed := &failure{kind: sniperetry.ConnectionLost, reason: "connectionLost", reply: errorReply{retryAfter: e.RetryAfter, detail: string(e.Cause)}}
+	notBegun := e.Execution == snipetarget.NotBegun
+	if notBegun {
+		failed.kind, failed.reason = sniperetry.DialFailed, "dialFailed"
 	}
 	switch reason := q.body.errorReason(); {
 	case reason != "":
@@ -135,16 +136,15 @@
 		// failed.
 		failed.reason = reasonNoConnection
 		return failed, AttemptCancelled
-	case e.Cause == snipetarget.CauseShed:
+	case e.Cause == snipetarget.CauseShed && notBegun:
 		failed.kind, failed.reason = sniperetry.TargetShed, "targetShed"
 		return failed, AttemptShed
-	case e.Execution == snipetarget.MaybeBegun && e.Cause == snipetarget.CauseTimeout:
+	case notBegun:
+		return failed, AttemptDialFailed
+	case e.Cause == snipetarget.CauseTimeout:
 		failed.reason = reasonDeadline
 	}
-	if e.Execution == snipetarget.MaybeBegun {
-		return failed, AttemptFailed
-	}
-	return failed, AttemptDialFailed
+	return failed, AttemptFailed
 }
 
 // countingReader counts the bytes read.
