snipetarget: a refusal does not speak for an earlier connection of its attempt

What callers could see: outcome not-run for a request that a target has run.

Cause: net/http repeats a request over a second connection if the first one ends without a response and the request looks idempotent to it (with an Idempotency-Key, for instance). The attempt seals the second connection and is cancelled, but a response that arrives there at that moment can still win, and a refusal was reported as not begun, whatever the first connection had carried.

No run of real processes shows it.

Change: a refusal of such an attempt is one that may have begun. The text of an error without Execution no longer says "not begun".

--- a/snipetarget/attempt.go
+++ b/snipetarget/attempt.go
@@ -74,9 +74,9 @@
 
 // Error implements error.
 func (e *Error) Error() string {
-	state := "not begun"
-	if e.Execution == MaybeBegun {
-		state = "may have begun"
+	state := "may have begun"
+	if e.Execution == NotBegun {
+		state = "not begun"
 	}
 	if e.Err == nil {
 		return fmt.Sprintf("%s (%s)", e.Cause, state)
@@ -209,6 +209,18 @@
 	return NotBegun
 }
 
+// sealRefused seals the connection over which the attempt was refused and returns whether
+// the target may have begun it over an earlier connection.
+func (t *tracker) sealRefused() Execution {
+	t.sealConn()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.maybeBegun {
+		return MaybeBegun
+	}
+	return NotBegun
+}
+
 // connection reports whether the attempt was assigned a connection, and whether
 // an earlier attempt had used it.
 func (t *tracker) connection() (found, reused bool) {
@@ -264,8 +276,7 @@
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(notRunHeader) == "1" {
 		_, _ = io.CopyN(io.Discard, body, maxShedBody)
 		_ = body.Close()
-		t.sealConn()
-		return nil, &Error{Execution: NotBegun, Cause: CauseShed, RetryAfter: retryAfter(resp.Header)}
+		return nil, &Error{Execution: t.sealRefused(), Cause: CauseShed, RetryAfter: retryAfter(resp.Header)}
 	}
 	return &Response{
 		Status:        resp.StatusCode,
