sniperetry: a promise needs the state of each attempt

What callers could see: outcome not-run, or a second execution of a request of class once, although nothing shows that one of its attempts has not begun.

Cause: a request counted as not begun unless some branch had set a flag (RequestState.OtherMayHaveBegun, retryState.mayHaveBegun, failure.otherMayHaveBegun), and three places chose not-run by default: giveUp, finalRefusal and serveAttempt.

Evidence: TestMissingAttempt, two attempts of which only the last one is known: before, the request is retried, and not-run after the deadline; now it ends in unknown.

Change: an AttemptRecord has the state of each attempt and hedge, Running from its begin on, and alone gives the outcome of a request without a response: not-run if the state of each attempt shows it. An attempt that a caller of Decide leaves out may have begun. TestAttemptRecord draws begins and ends; TestDecideProperties draws records, and also wants not-run where each state shows it, as before.

--- a/snipeforward/hedge.go
+++ b/snipeforward/hedge.go
@@ -11,7 +11,9 @@
 type concurrentResult struct {
 	response *response
 	failed   *failure
-	hedge    bool
+	// index is that of the attempt in the record.
+	index int
+	hedge bool
 	// panicked is the value of a panic. It is raised again on the goroutine of
 	// the request, where it does not end the process.
 	panicked any
@@ -22,41 +24,49 @@
 // first response and cancels the other attempt.
 func (f *Forwarder) attemptHedged(ctx context.Context, q *request, policy Policy, state *retryState) (*response, *failure) {
 	delay, ok := policy.HedgeDelay(q.class)
+	first := state.record.Begin()
 	if !ok || state.hedged || !q.body.fullyBuffered {
-		return f.attempt(ctx, q, false)
+		resp, failed := f.attempt(ctx, q, false)
+		state.end(first, failed)
+		return resp, failed
 	}
 	results := make(chan concurrentResult, 2)
+	receive := func() concurrentResult {
+		r := <-results
+		state.end(r.index, r.failed)
+		return r
+	}
 	firstCtx, cancelFirst := context.WithCancel(ctx)
 	started := f.deps.Clock.Now()
-	f.startAttempt(firstCtx, q, false, results)
+	f.startAttempt(firstCtx, q, concurrentResult{index: first}, results)
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	select {
 	case r := <-results:
+		state.end(r.index, r.failed)
 		return cancelOnFinish(r, cancelFirst)
 	case <-timer.C:
 	}
 	d := policy.Decide(f.deps.Clock.Now(), sniperetry.RequestState{
-		Class: q.class, Failure: sniperetry.Running, Attempts: state.attempts, OtherMayHaveBegun: true,
+		Class: q.class, Failure: sniperetry.Running, Attempts: state.attempts, Record: state.record,
 		Elapsed: f.deps.Clock.Now().Sub(started), Deadline: q.deadline,
 	})
 	if d.Action != sniperetry.Hedge {
-		return cancelOnFinish(<-results, cancelFirst)
+		return cancelOnFinish(receive(), cancelFirst)
 	}
 	state.hedged = true
 	f.countRetry(q, d.Reason)
 	secondCtx, cancelSecond := context.WithCancel(ctx)
-	f.startAttempt(secondCtx, q, true, results)
+	f.startAttempt(secondCtx, q, concurrentResult{index: state.record.Begin(), hedge: true}, results)
 	cancelBoth := func() {
 		cancelFirst()
 		cancelSecond()
 	}
-	r := <-results
+	r := receive()
 	if r.response == nil && r.panicked == nil {
 		// The other attempt may still succeed.
-		resp, failed := cancelOnFinish(<-results, cancelBoth)
+		resp, failed := cancelOnFinish(receive(), cancelBoth)
 		if failed != nil {
-			failed.otherMayHaveBegun = r.failed.kind.MayHaveBegun()
 			failed.otherTarget = r.failed.target
 		}
 		return resp, failed
@@ -70,22 +80,21 @@
 	return cancelOnFinish(r, cancelBoth)
 }
 
-// startAttempt makes an attempt on a new goroutine. A hedge excludes the target
-// of the first attempt.
-func (f *Forwarder) startAttempt(ctx context.Context, q *request, hedge bool, results chan<- concurrentResult) {
+// startAttempt makes an attempt on a new goroutine and sends r with its result. A hedge
+// excludes the target of the first attempt.
+func (f *Forwarder) startAttempt(ctx context.Context, q *request, r concurrentResult, results chan<- concurrentResult) {
 	// The attempt gets its own copy of the list of excluded targets.
 	own := *q
 	own.excluded = append([]string(nil), q.excluded...)
-	if target := q.currentTarget.Load(); hedge && target != nil {
+	if target := q.currentTarget.Load(); r.hedge && target != nil {
 		own.exclude(*target)
 	}
 	go func() {
-		r := concurrentResult{hedge: hedge}
 		defer func() {
 			r.panicked = recover()
 			results <- r
 		}()
-		r.response, r.failed = f.attempt(ctx, &own, hedge)
+		r.response, r.failed = f.attempt(ctx, &own, r.hedge)
 	}()
 }
 
--- a/snipeforward/relayserver.go
+++ b/snipeforward/relayserver.go
@@ -123,10 +123,7 @@
 	resp, failed := f.attemptLocal(ctx, q, Place{Name: m.GetPlace()}, wait, m.GetHedge())
 	if failed != nil {
 		e := failed.reply
-		e.reason, e.outcome = failed.reason, outcomeNotRun
-		if failed.kind.MayHaveBegun() {
-			e.outcome = outcomeUnknown
-		}
+		e.reason, e.outcome = failed.reason, string(sniperetry.AttemptRecord{failed.kind}.Outcome())
 		s.target = failed.target
 		rec.Refuse(e)
 		return
--- a/snipeforward/request.go
+++ b/snipeforward/request.go
@@ -46,10 +46,8 @@
 	// permanent is set if another attempt would fail in the same way or must not be
 	// made.
 	permanent bool
-	// otherMayHaveBegun is set if a target may have begun the other one of two
-	// concurrent attempts, which failed too.
-	otherMayHaveBegun bool
-	// otherTarget is the target of that attempt, or "".
+	// otherTarget is the target of the other one of two concurrent attempts, which
+	// failed too, or "".
 	otherTarget string
 }
 
--- a/snipeforward/run.go
+++ b/snipeforward/run.go
@@ -42,8 +42,16 @@
 type retryState struct {
 	attempts int
 	hedged   bool
-	// mayHaveBegun is set once a target may have begun the request.
-	mayHaveBegun bool
+	// record holds the states of all attempts and hedges.
+	record sniperetry.AttemptRecord
+}
+
+// end records the result of the attempt with the given index in the record. An attempt with
+// a response counts as one that may have begun.
+func (s *retryState) end(index int, failed *failure) {
+	if failed != nil {
+		s.record.End(index, failed.kind)
+	}
 }
 
 // runAttempts makes attempts until one succeeds or the policy permits no other.
@@ -66,7 +74,6 @@
 		}
 		q.exclude(failed.target)
 		q.exclude(failed.otherTarget)
-		state.mayHaveBegun = state.mayHaveBegun || failed.otherMayHaveBegun || failed.kind.MayHaveBegun()
 		if !f.retryAfterFailure(ctx, q, policy, state, failed, s) {
 			return
 		}
@@ -87,7 +94,7 @@
 	}
 	if !q.body.repeatable() || !f.waitBeforeRetry(ctx, d.Delay) {
 		policy.Refund()
-		s.Refuse(f.finalRefusal(ctx, sniperetry.Decision{Outcome: sniperetry.NotRun}, state, failed))
+		s.Refuse(f.finalRefusal(ctx, sniperetry.Decision{}, state, failed))
 		return false
 	}
 	f.countRetry(q, d.Reason)
@@ -97,12 +104,12 @@
 func (f *Forwarder) retryEvent(q *request, state *retryState, failed *failure) sniperetry.RequestState {
 	return sniperetry.RequestState{
 		Class: q.class, Failure: failed.kind, Attempts: state.attempts, Hedged: state.hedged,
-		OtherMayHaveBegun: state.mayHaveBegun, Deadline: q.deadline, RetryAfter: failed.reply.retryAfter,
+		Record: state.record, Deadline: q.deadline, RetryAfter: failed.reply.retryAfter,
 	}
 }
 
-// finalRefusal returns the refusal after the last attempt. Once a target may have
-// begun the request, its outcome is unknown whatever the later failures.
+// finalRefusal returns the refusal after the last attempt. Its outcome is not-run only
+// if the record shows that for each attempt.
 func (f *Forwarder) finalRefusal(ctx context.Context, d sniperetry.Decision, state *retryState, failed *failure) errorReply {
 	e := failed.reply
 	e.reason = failed.reason
@@ -112,10 +119,7 @@
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) && !failed.permanent {
 		e.reason = reasonDeadline
 	}
-	e.outcome = outcomeNotRun
-	if state.mayHaveBegun || failed.kind.MayHaveBegun() {
-		e.outcome = outcomeUnknown
-	}
+	e.outcome = string(state.record.Outcome())
 	return e
 }
 
@@ -136,7 +140,6 @@
 	}
 	resp.finish(bodyAbandoned)
 	q.exclude(resp.target)
-	state.mayHaveBegun = true
 	f.countRetry(q, d.Reason)
 	return true
 }
--- a/sniperetry/policy.go
+++ b/sniperetry/policy.go
@@ -150,9 +150,9 @@
 	Attempts int
 	// Hedged reports that a hedge of the request has been sent.
 	Hedged bool
-	// OtherMayHaveBegun reports that an earlier attempt may have begun, or that
-	// another attempt of the request is still running.
-	OtherMayHaveBegun bool
+	// Record holds the states of all attempts and hedges of the request, including
+	// the latest attempt. An attempt that is missing may have begun.
+	Record AttemptRecord
 	// Elapsed is the time since the running attempt was sent. It is used for Running
 	// only.
 	Elapsed time.Duration
@@ -164,6 +164,11 @@
 	RetryAfter time.Duration
 }
 
+// mayHaveBegun reports whether a target may have begun to execute the request.
+func (e RequestState) mayHaveBegun() bool {
+	return e.Failure.MayHaveBegun() || len(e.Record) < e.Attempts || e.Record.MayHaveBegun()
+}
+
 // Decision is the next step of a request.
 type Decision struct {
 	Action Action
@@ -254,7 +259,7 @@
 
 // decideRetry returns the next step after a failed attempt: Retry or GiveUp.
 func (p *Policy) decideRetry(now snipetime.Instant, e RequestState) Decision {
-	if e.Class != Safe && e.Class != Idempotent && (e.Failure.MayHaveBegun() || e.OtherMayHaveBegun) {
+	if e.Class != Safe && e.Class != Idempotent && e.mayHaveBegun() {
 		return giveUp(e, e.Failure.Reason())
 	}
 	if e.Attempts >= p.settings.MaxAttempts {
@@ -293,12 +298,12 @@
 // giveUp returns the decision that ends a request. A server error of the target is a
 // complete response, which is passed to the caller with the outcome Done.
 func giveUp(e RequestState, reason Reason) Decision {
-	d := Decision{Action: GiveUp, Reason: reason, Cause: e.Failure.Reason(), Outcome: NotRun}
+	d := Decision{Action: GiveUp, Reason: reason, Cause: e.Failure.Reason(), Outcome: Unknown}
 	switch {
 	case e.Failure == TargetFailed:
 		d.Outcome = Done
-	case e.Failure.MayHaveBegun() || e.OtherMayHaveBegun:
-		d.Outcome = Unknown
+	case !e.mayHaveBegun():
+		d.Outcome = NotRun
 	}
 	return d
 }
--- a/sniperetry/sniperetry_test.go
+++ b/sniperetry/sniperetry_test.go
@@ -20,6 +20,7 @@
 		Class:    sniperetry.Once,
 		Failure:  sniperetry.ConnectionLost,
 		Attempts: 1,
+		Record:   sniperetry.AttemptRecord{sniperetry.ConnectionLost},
 		Deadline: 3 * second,
 	})
 	fmt.Println(d.Action == sniperetry.GiveUp, d.Reason, d.Outcome)
@@ -53,8 +54,9 @@
 }
 
 // TestDecideProperties guards against a second execution of a Once request, the
-// outcome not-run for a request that may have begun, a retry after the deadline, and a
-// hedge of a request that is not Safe.
+// outcome not-run for a request that may have begun, also if nothing is known of one of its
+// attempts, unknown for one of which each attempt shows that it has not begun, a retry after
+// the deadline, and a hedge of a request that is not Safe.
 func TestDecideProperties(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		p := sniperetry.NewPolicy(sniperetry.Settings{}, rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)), 0)
@@ -63,17 +65,20 @@
 			p.Observe(0, time.Millisecond)
 		}
 		e := sniperetry.RequestState{
-			Class:             rapid.SampledFrom([]sniperetry.Class{sniperetry.Safe, sniperetry.Idempotent, sniperetry.Once, ""}).Draw(t, "class"),
-			Failure:           sniperetry.AttemptState(rapid.IntRange(0, int(sniperetry.CallerGone)).Draw(t, "failure")),
-			Attempts:          rapid.IntRange(1, 5).Draw(t, "attempts"),
-			OtherMayHaveBegun: rapid.Bool().Draw(t, "began"),
-			Elapsed:           time.Duration(rapid.Int64Range(0, int64(time.Second)).Draw(t, "elapsed")),
-			Deadline:          snipetime.Instant(rapid.Int64Range(0, int64(2*time.Second)).Draw(t, "deadline")),
-			RetryAfter:        time.Duration(rapid.Int64Range(0, int64(time.Second)).Draw(t, "after")),
+			Class:      rapid.SampledFrom([]sniperetry.Class{sniperetry.Safe, sniperetry.Idempotent, sniperetry.Once, ""}).Draw(t, "class"),
+			Failure:    drawState.Draw(t, "failure"),
+			Attempts:   rapid.IntRange(1, 5).Draw(t, "attempts"),
+			Record:     rapid.SliceOfN(drawState, 0, 6).Draw(t, "record"),
+			Elapsed:    time.Duration(rapid.Int64Range(0, int64(time.Second)).Draw(t, "elapsed")),
+			Deadline:   snipetime.Instant(rapid.Int64Range(0, int64(2*time.Second)).Draw(t, "deadline")),
+			RetryAfter: time.Duration(rapid.Int64Range(0, int64(time.Second)).Draw(t, "after")),
 		}
 		now := snipetime.Instant(rapid.Int64Range(0, int64(time.Second)).Draw(t, "now"))
 		d := p.Decide(now, e)
-		mayHaveBegun := e.Failure.MayHaveBegun() || e.OtherMayHaveBegun
+		mayHaveBegun := !notBegun(e.Failure) || len(e.Record) < e.Attempts
+		for _, state := range e.Record {
+			mayHaveBegun = mayHaveBegun || !notBegun(state)
+		}
 		retryable := e.Class == sniperetry.Safe || e.Class == sniperetry.Idempotent
 		if d.Action == sniperetry.Retry && !now.Add(d.Delay).Before(e.Deadline) {
 			t.Fatalf("retry after the deadline: %+v", d)
@@ -87,6 +92,66 @@
 		if d.Outcome == sniperetry.NotRun && mayHaveBegun {
 			t.Fatalf("not-run for a request that may have begun: %+v", d)
 		}
+		if d.Action == sniperetry.GiveUp && d.Outcome != sniperetry.NotRun && !mayHaveBegun {
+			t.Fatalf("unknown for a request that has not begun: %+v", d)
+		}
+	})
+}
+
+// drawState draws any state of an attempt.
+var drawState = rapid.Custom(func(t *rapid.T) sniperetry.AttemptState {
+	return sniperetry.AttemptState(rapid.IntRange(0, int(sniperetry.CallerGone)).Draw(t, "state"))
+})
+
+// notBegun reports whether a state shows that no target has begun the attempt.
+func notBegun(s sniperetry.AttemptState) bool {
+	switch s {
+	case sniperetry.DialFailed, sniperetry.TargetShed, sniperetry.NoSlot, sniperetry.RelayRefused:
+		return true
+	default:
+		return false
+	}
+}
+
+// TestMissingAttempt guards against a second execution of a Once request, and against the
+// outcome not-run, when the state of an earlier attempt was not recorded.
+func TestMissingAttempt(t *testing.T) {
+	p := sniperetry.NewPolicy(sniperetry.Settings{}, rand.New(rand.NewPCG(1, 2)), 0)
+	for range 100 {
+		p.FirstAttempt(0)
+	}
+	for _, deadline := range []snipetime.Instant{0, second} {
+		e := sniperetry.RequestState{Class: sniperetry.Once, Failure: sniperetry.NoSlot, Attempts: 2, Deadline: deadline}
+		if d := p.Decide(0, e); d.Action != sniperetry.GiveUp || d.Outcome != sniperetry.Unknown {
+			t.Errorf("deadline %v: %+v, want that it gives up with an unknown outcome", deadline, d)
+		}
+	}
+}
+
+// TestAttemptRecord guards against the outcome not-run for a request with an attempt that
+// is still running, was not ended, or has ended in a state that does not show that it has
+// not begun, in any order of the ends.
+func TestAttemptRecord(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var record sniperetry.AttemptRecord
+		var running []int
+		shown := 0
+		for range rapid.IntRange(0, 8).Draw(t, "steps") {
+			if len(running) == 0 || rapid.Bool().Draw(t, "begin") {
+				running = append(running, record.Begin())
+				continue
+			}
+			i := rapid.IntRange(0, len(running)-1).Draw(t, "attempt")
+			state := drawState.Draw(t, "end")
+			record.End(running[i], state)
+			running = append(running[:i], running[i+1:]...)
+			if notBegun(state) {
+				shown++
+			}
+		}
+		if got := record.Outcome() == sniperetry.NotRun; got != (shown == len(record)) {
+			t.Fatalf("outcome %s of %v", record.Outcome(), record)
+		}
 	})
 }
 
