platform/rig: deployments at their own numbers, with servers as processes

The soak has served one service of stand-ins inside its own process, so that no run had the users' services, queues, deadlines, bodies and rates, and no server could be paused or killed.

--- a/cmd/snipemoorsoak/main.go
+++ b/cmd/snipemoorsoak/main.go
@@ -14,6 +14,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"github.com/snipemoor/snipemoor/platform/rig"
 	"github.com/snipemoor/snipemoor/platform/soak"
 )
 
@@ -27,9 +28,23 @@
 	Targets  int           `help:"Number of targets." default:"6"`
 	Callers  int           `help:"Number of callers." default:"6"`
 	Verbose  bool          `help:"Write a line for each fault."`
+
+	Deployment string  `help:"Deployment file: serve it with servers as processes of their own." type:"existingfile"`
+	Scale      float64 `help:"Part of the deployment that is served." default:"1"`
+	Dose       string  `help:"Doses of the deployment that are given side by side, such as shed,lateAny. A part such as shed=0.2 states another share of requests."`
 }
 
+// serverCommand is the argument with which the command runs a server of a deployment.
+const serverCommand = "server"
+
 func main() {
+	if len(os.Args) == 2 && os.Args[1] == serverCommand {
+		if err := rig.ServerMain(os.Stdin); err != nil {
+			printError(err)
+			os.Exit(2)
+		}
+		return
+	}
 	var o options
 	kong.Parse(&o, kong.Name("snipemoorsoak"), kong.Description("Runs fronts under random faults and checks their guarantees."))
 	os.Exit(runSeeds(o))
@@ -44,20 +59,12 @@
 			printError(err)
 			return 2
 		}
-		s := soak.Settings{
-			Binary: o.Front, Dir: dir, Seed: seed, Duration: o.Duration,
-			Fronts: o.Fronts, Targets: o.Targets, Callers: o.Callers,
-		}
-		if o.Verbose {
-			s.Log = os.Stdout
-		}
-		result, err := soak.Run(s)
+		broken, err := runSeed(o, seed, dir)
 		if err != nil {
 			printError(err)
 			return 2
 		}
-		printResult(seed, result)
-		if len(result.Violations) > 0 {
+		if broken {
 			status = 1
 			continue
 		}
@@ -68,6 +75,51 @@
 	return status
 }
 
+// runSeed runs one seed, prints its result and reports whether a guarantee was violated.
+func runSeed(o options, seed uint64, dir string) (broken bool, err error) {
+	if o.Deployment != "" {
+		return runDeployment(o, seed, dir)
+	}
+	s := soak.Settings{
+		Binary: o.Front, Dir: dir, Seed: seed, Duration: o.Duration,
+		Fronts: o.Fronts, Targets: o.Targets, Callers: o.Callers,
+	}
+	if o.Verbose {
+		s.Log = os.Stdout
+	}
+	result, err := soak.Run(s)
+	if err != nil {
+		return false, fmt.Errorf("run seed %d: %w", seed, err)
+	}
+	printResult(seed, result)
+	return len(result.Violations) > 0, nil
+}
+
+// runDeployment is runSeed for a deployment file.
+func runDeployment(o options, seed uint64, dir string) (broken bool, err error) {
+	d, err := rig.Load(o.Deployment)
+	if err != nil {
+		return false, fmt.Errorf("load deployment: %w", err)
+	}
+	d.Scale(o.Scale)
+	program, err := os.Executable()
+	if err != nil {
+		return false, fmt.Errorf("find own executable: %w", err)
+	}
+	s := rig.Settings{Front: o.Front, Server: []string{program, serverCommand}, Dir: dir, Seed: seed, Duration: o.Duration, Doses: o.Dose}
+	if o.Verbose {
+		s.Log = os.Stdout
+	}
+	verdict, err := rig.Run(s, d)
+	if err != nil {
+		return false, fmt.Errorf("run seed %d: %w", seed, err)
+	}
+	// A write error cannot be reported anywhere else.
+	_, _ = fmt.Fprintf(os.Stdout, "%s, part %g, seed %d, doses %q: ", d.Name, o.Scale, seed, o.Dose)
+	verdict.Print(os.Stdout)
+	return len(verdict.Findings) > 0, nil
+}
+
 // printResult writes one line for a seed, and one for each violation.
 func printResult(seed uint64, r *soak.Result) {
 	// A write error cannot be reported anywhere else.
