--- a/cmd/snipemoorsoak/main.go
+++ b/cmd/snipemoorsoak/main.go
@@ -27,6 +27,7 @@
 	Fronts   int           `help:"Number of fronts." default:"4"`
 	Targets  int           `help:"Number of targets." default:"6"`
 	Callers  int           `help:"Number of callers." default:"6"`
+	Keep     bool          `help:"Keep the settings and logs of seeds without violations too."`
 	Verbose  bool          `help:"Write a line for each fault."`
 
 	Deployment string  `help:"Deployment file: serve it with servers as processes of their own." type:"existingfile"`
@@ -68,6 +69,9 @@
 			status = 1
 			continue
 		}
+		if o.Keep {
+			continue
+		}
 		if err := os.RemoveAll(dir); err != nil {
 			printError(err)
 		}
