snipequota: limits that targets stated before the process began are kept

Cause: a front that starts asks others for all limits and gets them, but the time of a statement older than the process is negative on its clock, and so before the zero time of a state without a statement: it counted as older and was dropped. Only limits that were stated after the start were learned.

TestLimitFromBeforeStart fails in 5 of 5 cases on the code before.

Change: the state of a target says whether there is a statement, in place of its time.

--- a/snipequota/table.go
+++ b/snipequota/table.go
@@ -53,7 +53,10 @@
 // quota is the state of one incarnation of a target that states a limit, or lately
 // stated one.
 type quota struct {
-	target    *snipefleet.Target
+	target *snipefleet.Target
+	// stated is set if statement is one of the target. Its time can be before the start of
+	// this process, and so negative.
+	stated    bool
 	statement Statement
 	// noted is the statement at the last change of the limit.
 	noted Statement
@@ -106,10 +109,10 @@
 			return Statement{}, false
 		}
 	}
-	if s.At.Before(q.statement.At) {
+	if q.stated && s.At.Before(q.statement.At) {
 		return q.noted, false
 	}
-	before, q.statement = q.noted, s
+	before, q.statement, q.stated = q.noted, s, true
 	q.unreadable = false
 	changed = s.differs(before)
 	if changed {
--- a/snipequota/table_test.go
+++ b/snipequota/table_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/snipemoor/snipemoor/snipefeed"
 	"github.com/snipemoor/snipemoor/snipefleet"
+	"github.com/snipemoor/snipemoor/snipetime"
 )
 
 // TestStatements guards against a limit that outlives its target's last statement of
@@ -56,3 +59,38 @@
 		t.Error("a target that left is still limited")
 	}
 }
+
+// TestLimitFromBeforeStart guards against a front that has just started and drops the limits
+// that others tell it, because their targets stated them before this process began.
+func TestLimitFromBeforeStart(t *testing.T) {
+	fleet := snipefleet.New()
+	fleet.UpdateTarget(0, snipefleet.TargetReport{ID: "t", Service: "s", Address: "t", Slots: 4, Born: 1})
+	const now, age = snipetime.Instant(time.Second), 10 * time.Second
+	report := snipefeed.LimitReport{Target: "t", Service: "s", Born: 1, Limited: true, PerSecond: 3, Age: age}
+	for name, before := range map[string]func(table *Table){
+		"nothing heard":              func(*Table) {},
+		"a statement not readable":   func(table *Table) { table.RecordUnreadable(fleet.View().Target("s", "t")) },
+		"an older statement of 9/s":  func(table *Table) { table.MergeLimitReports(now, "p", []snipefeed.LimitReport{older(report)}) },
+		"the end of an older limit":  func(table *Table) { table.MergeLimitReports(now, "p", []snipefeed.LimitReport{ended(older(report))}) },
+		"the same statement, before": func(table *Table) { table.MergeLimitReports(now, "p", []snipefeed.LimitReport{report}) },
+	} {
+		table := New(snipefleet.Member{Name: "f"}, fleet, zap.NewNop())
+		before(table)
+		table.MergeLimitReports(now, "p", []snipefeed.LimitReport{report})
+		if s, _ := table.Current(fleet.View().Target("s", "t")); s.PerSecond != report.PerSecond {
+			t.Errorf("%s: %+v, want %.0f/s", name, s, report.PerSecond)
+		}
+	}
+}
+
+// older returns a report of a higher limit, stated before r.
+func older(r snipefeed.LimitReport) snipefeed.LimitReport {
+	r.PerSecond, r.Age = 9, 2*r.Age
+	return r
+}
+
+// ended returns a report of the end of a limit, stated when r was.
+func ended(r snipefeed.LimitReport) snipefeed.LimitReport {
+	r.Limited, r.PerSecond = false, 0
+	return r
+}
