--- a/snipegate/gate.go
+++ b/snipegate/gate.go
@@ -186,7 +186,8 @@
 		fields = append(fields, zap.Duration("retryAfter", q.retryAfter))
 	}
 	if impliesNotRun(q.status) && q.route != nil {
-		fields = append(fields, zap.Array("notRun", q.attempts), zap.Int("offered", len(q.attempts)), zap.String("caller", q.r.RemoteAddr))
+		fields = append(fields, zap.String("kind", kind),
+			zap.Array("notRun", q.attempts), zap.Int("offered", len(q.attempts)), zap.String("caller", q.r.RemoteAddr))
 	}
 	if q.refusal != nil {
 		fields = append(fields, zap.Array("looks", loggedCandidates(q.refusal.Candidates)))
