snipegate: a 421 in which a target names itself shows nothing

What targets and callers could see: a live target that a front never uses again, and a promise that rests on a late response.

Cause: a process that starts at an address of another answers requests for the one before with 421 and its own ID. A late copy of that answer, for a request that its caller sends again, came before the answer of that very process, and took it out of use for good. The response names the target that was asked, which contradicts its status; nothing compared the two.

Change: such a response is no evidence, and excludes no target.

--- a/snipegate/promise.go
+++ b/snipegate/promise.go
@@ -119,11 +119,17 @@
 	q.attempts.settle(notRunAttempt{target: t.ID, address: t.Address, reason: reasonNotSent, after: time.Since(q.arrived)})
 }
 
+// named reports whether the headers of a response carry the identifier of the request.
+func (q *request) named(h http.Header) bool {
+	return h.Get(q.gate.HeaderCodec.IDHeader()) == q.call.ID
+}
+
 // settleRefused records that the last attempt, at t, has not run, as the response says. It
 // returns false if the response does not show that.
 func (q *request) settleRefused(t *snipefleet.Target, h ResponseHeaders, resp *snipeconn.Response) bool {
-	named := resp.Header.Get(q.gate.HeaderCodec.IDHeader()) == q.call.ID
-	if !h.NotRun || !named || resp.Status < http.StatusBadRequest {
+	// A target that says that it is not itself sends the response to an earlier request.
+	contradictory := h.WrongTarget && h.Responder == t.ID
+	if !h.NotRun || !q.named(resp.Header) || resp.Status < http.StatusBadRequest || contradictory {
 		return false
 	}
 	reason := reasonStated
--- a/snipegate/promise_test.go
+++ b/snipegate/promise_test.go
@@ -165,3 +165,23 @@
 		})
 	}
 }
+
+// TestLateMisdirectedRefusal guards against a live target that is excluded for good, and a
+// promise, by a late copy of its answer to a request for the target before it at its address:
+// status 421, in which it names itself.
+func TestLateMisdirectedRefusal(t *testing.T) {
+	for _, kind := range []snipetable.Kind{snipetable.Idempotent, snipetable.NonIdempotent} {
+		result := statusResult(http.StatusMisdirectedRequest)
+		result.resp.Header.Set("Responder", "a")
+		r := newTestGate(t, kind, result)
+		for _, id := range []string{"b", "c"} {
+			r.fleet.RemoveTarget(r.gate.Clock.Now(), id)
+		}
+		if w := r.call(http.MethodPost, "/", ""); w.Code != http.StatusBadGateway {
+			t.Errorf("%s: status %d, want 502", kind, w.Code)
+		}
+		if r.fleet.View().Target("s", "a") == nil {
+			t.Errorf("%s: the target is excluded", kind)
+		}
+	}
+}
