snipegate: a refusal that is not believed states nothing else either

A refusal that does not name the request was no evidence any more, but what it stated about leaving, rest and limit was recorded as new. Other responses state what they did before, whether they name the request or not, since they are passed on. 421 counts among the statuses that promise, so that a target's 421 without a statement would not be forwarded.

--- a/snipegate/promise_test.go
+++ b/snipegate/promise_test.go
@@ -185,3 +185,18 @@
 		}
 	}
 }
+
+// TestStatementsOfDoubtedRefusal guards against a target that counts as leaving because of a
+// refusal that is not taken for one, since it does not name the request.
+func TestStatementsOfDoubtedRefusal(t *testing.T) {
+	for id, leaves := range map[string]bool{"": false, "2": false, "1": true} {
+		result := statusResult(http.StatusServiceUnavailable, "Not-Run", "Leaving")
+		result.resp.Header.Set("Id", id)
+		r := newTestGate(t, snipetable.NonIdempotent, result, result)
+		before := len(r.fleet.View().Targets("s"))
+		r.call(http.MethodPost, "/", "")
+		if got := len(r.fleet.View().Targets("s")) < before; got != leaves {
+			t.Errorf("response to %q: a target counts as leaving: %v, want %v", id, got, leaves)
+		}
+	}
+}
--- a/snipegate/responses.go
+++ b/snipegate/responses.go
@@ -50,7 +50,9 @@
 // to be retried or refused instead.
 func (q *request) handleResponse(t *snipefleet.Target, sent time.Time, resp *snipeconn.Response) attemptResult {
 	s := q.gate.HeaderCodec.Statement(resp.Status, resp.Header)
-	q.recordStatements(t, s)
+	if !s.NotRun || q.named(resp.Header) {
+		q.recordStatements(t, s)
+	}
 	q.reused = resp.Reused
 	tooSlow := resp.Status == http.StatusGatewayTimeout && !s.NotRun
 	result := snipeplacement.Result{Latency: time.Since(sent), Load: s.Load, Completed: !s.NotRun && !tooSlow, Failed: tooSlow}
@@ -128,7 +130,7 @@
 // request has not run.
 func impliesNotRun(status int) bool {
 	switch status {
-	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return true
 	default:
 		return false
