snipegate: the memory of refusals ends, and loses none

What callers could see: an identifier that is used over and over is never served again (served 0 of 50 after three targets had refused it once and recovered); and a request that was refused and ran, sent a third time, or at the same time twice.

Cause: what was remembered had no end and was renewed by each use; it was written at the end of a request, so that of two at once one was lost.

Change: each refusal is recorded when it arrives, for a minute, and use renews nothing. The line of a request says refusedBefore. Still not covered: two sends that are under way at once.

Also: the counter of promises takes a promise, so that "missing", which cannot occur, is gone; TestLateRefusalOverAnotherConnection wants status 503.

--- a/snipegate/attempts.go
+++ b/snipegate/attempts.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"strconv"
 	"time"
 
@@ -35,8 +34,8 @@
 // refuses the request if no target is available, or if it must not be retried.
 func (q *request) runAttempts() {
 	if q.route.Kind != snipetable.Idempotent {
-		q.excluded = slices.Clone(q.gate.refusals.refusedBy(q.call.ID))
-		defer func() { q.gate.refusals.add(q.call.ID, q.refusedBy()) }()
+		q.excluded = q.gate.refusals.refusedBy(q.gate.Clock.Now(), q.call.ID)
+		q.refusedBefore = len(q.excluded)
 	}
 	for {
 		if snipecaller.Disconnected(q.r) {
@@ -67,19 +66,6 @@
 	}
 }
 
-// refusedBy returns the targets that refused the request, in this and in earlier requests
-// with the same identifier.
-func (q *request) refusedBy() []*snipefleet.Target {
-	earlier := len(q.excluded) - len(q.attempts)
-	refused := slices.Clone(q.excluded[:earlier])
-	for i, t := range q.excluded[earlier:] {
-		if a := q.attempts[i]; a != nil && a.response != nil {
-			refused = append(refused, t)
-		}
-	}
-	return refused
-}
-
 // reportRetry logs and counts a retry.
 func (q *request) reportRetry() {
 	q.gate.Metrics.countRetry(q.outcome)
--- a/snipegate/gate.go
+++ b/snipegate/gate.go
@@ -189,6 +189,9 @@
 		fields = append(fields, zap.String("kind", kind),
 			zap.Array("notRun", q.attempts), zap.Int("offered", len(q.attempts)), zap.String("caller", q.r.RemoteAddr))
 	}
+	if q.refusedBefore > 0 {
+		fields = append(fields, zap.Int("refusedBefore", q.refusedBefore))
+	}
 	if q.refusal != nil {
 		fields = append(fields, zap.Array("looks", loggedCandidates(q.refusal.Candidates)))
 	}
@@ -197,7 +200,7 @@
 	}
 	g.Log.Info("request", fields...)
 	if impliesNotRun(q.status) {
-		g.Metrics.countPromise(q.attempts)
+		g.Metrics.countPromise(q.attempts.promise())
 	}
 	g.Metrics.observe(kind, q.outcome, elapsed)
 }
@@ -260,6 +263,9 @@
 	tried []*snipefleet.Target
 	// excluded are the targets that are not chosen again, nor others at their addresses.
 	excluded []*snipefleet.Target
+	// refusedBefore is the number of targets that refused an earlier request with the same
+	// identifier.
+	refusedBefore int
 	// reused is set if the last attempt used a kept connection.
 	reused bool
 	// chosen is the target of the last attempt with its load when it was chosen;
@@ -295,7 +301,9 @@
 // admit determines the route and the deadline. It refuses requests that cannot be
 // routed or have no time left, and then returns false.
 func (q *request) admit() bool {
-	q.table = q.gate.Tables.Current()
+	if q.table == nil {
+		q.table = q.gate.Tables.Current()
+	}
 	if q.table == nil {
 		q.refuse(OutcomeNoConfiguration, time.Second)
 		return false
--- a/snipegate/lateresponse_test.go
+++ b/snipegate/lateresponse_test.go
@@ -195,8 +195,8 @@
 			r := newTestGateAt(t, snipetable.NonIdempotent, len(tc.refusals)+1, startTarget(t, target.serve), tc.entries...)
 			r.gate.HeaderCodec = loadDialect{load: &snipeplacement.Load{Slots: 4}}
 			w := r.call(http.MethodPost, "/", "")
-			if ran := target.runCount(); impliesNotRun(w.Code) && ran > 0 {
-				t.Errorf("refused with status %d, and ran %d times", w.Code, ran)
+			if ran := target.runCount(); w.Code != http.StatusServiceUnavailable || ran > 0 {
+				t.Errorf("status %d, and ran %d times, want 503 and not run", w.Code, ran)
 			}
 		})
 	}
--- a/snipegate/metrics.go
+++ b/snipegate/metrics.go
@@ -17,13 +17,9 @@
 	promises *prometheus.CounterVec
 }
 
-// Labels of Metrics.promises beside the reasons of notRunAttempt.
-const (
-	// promiseNotOffered means that the request was offered to no target.
-	promiseNotOffered = "notOffered"
-	// promiseMissing means that it is not known of an attempt that it has not run.
-	promiseMissing = "missing"
-)
+// promiseNotOffered is the label of Metrics.promises for a request that was offered to no
+// target. The others are the reasons of notRunAttempt.
+const promiseNotOffered = "notOffered"
 
 // NewMetrics returns metrics that are registered with r. It panics if metrics of the
 // same name are registered already.
@@ -63,15 +59,11 @@
 func (m *Metrics) countRetry(o Outcome) { m.retries.WithLabelValues(string(o)).Inc() }
 
 // countPromise counts what a promise rests on, for each attempt.
-func (m *Metrics) countPromise(attempts attemptRecord) {
-	if len(attempts) == 0 {
+func (m *Metrics) countPromise(p *promise) {
+	if len(p.attempts) == 0 {
 		m.promises.WithLabelValues(promiseNotOffered).Inc()
 	}
-	for _, a := range attempts {
-		reason := promiseMissing
-		if a != nil {
-			reason = a.reason
-		}
-		m.promises.WithLabelValues(reason).Inc()
+	for _, a := range p.attempts {
+		m.promises.WithLabelValues(a.reason).Inc()
 	}
 }
--- a/snipegate/promise.go
+++ b/snipegate/promise.go
@@ -9,6 +9,7 @@
 
 	"github.com/snipemoor/snipemoor/snipeconn"
 	"github.com/snipemoor/snipemoor/snipefleet"
+	"github.com/snipemoor/snipemoor/snipetable"
 )
 
 // Reasons for which an attempt has not run.
@@ -143,5 +144,8 @@
 			localAddr: resp.LocalAddr(), age: time.Since(resp.ConnOpened()), earlier: resp.EarlierRequests(),
 		},
 	})
+	if q.route.Kind != snipetable.Idempotent {
+		q.gate.refusals.add(q.gate.Clock.Now(), q.call.ID, t)
+	}
 	return true
 }
--- a/snipegate/promise_test.go
+++ b/snipegate/promise_test.go
@@ -94,21 +94,20 @@
 	}
 }
 
-// TestPromisesAreCounted guards against a promise that rests on nothing and that no metric
-// shows.
+// TestPromisesAreCounted guards against promises that no metric shows.
 func TestPromisesAreCounted(t *testing.T) {
-	stated := &notRunAttempt{reason: reasonStated}
+	stated, notSent := &notRunAttempt{reason: reasonStated}, &notRunAttempt{reason: reasonNotSent}
 	for name, tc := range map[string]struct {
 		attempts attemptRecord
 		want     map[string]float64
 	}{
-		"not offered": {nil, map[string]float64{promiseNotOffered: 1}},
-		"stated":      {attemptRecord{stated, stated}, map[string]float64{reasonStated: 2}},
-		"one unknown": {attemptRecord{stated, nil}, map[string]float64{reasonStated: 1, promiseMissing: 1}},
+		"not offered":         {nil, map[string]float64{promiseNotOffered: 1}},
+		"stated":              {attemptRecord{stated, stated}, map[string]float64{reasonStated: 2}},
+		"not sent and stated": {attemptRecord{notSent, stated}, map[string]float64{reasonNotSent: 1, reasonStated: 1}},
 	} {
 		m := NewMetrics(prometheus.NewRegistry())
-		m.countPromise(tc.attempts)
-		for _, reason := range []string{promiseNotOffered, promiseMissing, reasonStated, reasonNotSent, reasonMisaddressed} {
+		m.countPromise(tc.attempts.promise())
+		for _, reason := range []string{promiseNotOffered, reasonStated, reasonNotSent, reasonMisaddressed} {
 			if got := testutil.ToFloat64(m.promises.WithLabelValues(reason)); got != tc.want[reason] {
 				t.Errorf("%s: %s is %v, want %v", name, reason, got, tc.want[reason])
 			}
