snipegate: a pipelined request is handled by the table that let it start

A request was sent early because one table had an idempotent route for it, and then handled by the table in force a moment later, in which the route may not be: it then runs although an earlier response on its connection can close it.

--- a/snipegate/pipeline.go
+++ b/snipegate/pipeline.go
@@ -26,19 +26,20 @@
 // request can close the connection, and the early request has then run although
 // its caller gets no response.
 func (g *Gate) ServePipelined(r *http.Request, arrived time.Time) http.Handler {
-	if g.stopping.Load() != nil || !g.idempotent(r) || !g.BodyMemory.TryAcquire(maxBufferedBytes) {
+	table := g.Tables.Current()
+	if g.stopping.Load() != nil || !idempotent(table, r) || !g.BodyMemory.TryAcquire(maxBufferedBytes) {
 		return nil
 	}
 	h := &bufferedResponse{gate: g, request: r, header: make(http.Header), released: make(chan struct{}), done: make(chan struct{})}
-	q := &request{gate: g, w: h, r: r, arrived: arrived, startedEarly: true, call: g.HeaderCodec.Call(r.Header)}
+	// A later table may have another kind of route for the request.
+	q := &request{gate: g, w: h, r: r, arrived: arrived, startedEarly: true, call: g.HeaderCodec.Call(r.Header), table: table}
 	go h.run(q)
 	return h
 }
 
-// idempotent reports whether a request matches an idempotent route. It is false
-// before the first configuration.
-func (g *Gate) idempotent(r *http.Request) bool {
-	table := g.Tables.Current()
+// idempotent reports whether a request matches an idempotent route of a table. It is false
+// if the table is nil, as before the first configuration.
+func idempotent(table *snipetable.Table, r *http.Request) bool {
 	if table == nil {
 		return false
 	}
