--- a/snipegate/attempts.go
+++ b/snipegate/attempts.go
@@ -12,7 +12,6 @@
 	"github.com/snipemoor/snipemoor/snipeconn"
 	"github.com/snipemoor/snipemoor/snipefleet"
 	"github.com/snipemoor/snipemoor/snipeplacement"
-	"github.com/snipemoor/snipemoor/snipetable"
 )
 
 // attemptResult is the result of an attempt, as far as retries depend on it.
@@ -33,7 +32,7 @@
 // runAttempts sends the request until a response is forwarded to the caller. It
 // refuses the request if no target is available, or if it must not be retried.
 func (q *request) runAttempts() {
-	if q.route.Kind != snipetable.Idempotent {
+	if !q.route.Kind.Repeatable() {
 		q.excluded = q.gate.refusals.refusedBy(q.gate.Clock.Now(), q.call.ID)
 		q.refusedBefore = len(q.excluded)
 	}
@@ -52,7 +51,7 @@
 		case delivered:
 			return
 		case mayHaveRun:
-			if q.route.Kind != snipetable.Idempotent {
+			if !q.route.Kind.Repeatable() {
 				q.refuse(q.outcome, 0)
 				return
 			}
@@ -114,6 +113,7 @@
 		Service:  q.service,
 		Info:     q.table.Service(q.service),
 		Route:    q.route,
+		Tenant:   q.tenant,
 		Object:   q.placementKey(),
 		Excluded: q.excluded,
 	}
@@ -163,7 +163,7 @@
 func (q *request) attempt() attemptResult {
 	t := q.chosen.Target
 	ctx := q.r.Context()
-	if q.route.Kind != snipetable.Idempotent {
+	if !q.route.Kind.Repeatable() {
 		// The target finishes such a request even if the caller disconnects.
 		ctx = context.WithoutCancel(ctx)
 	}
@@ -171,7 +171,7 @@
 	sent := time.Now()
 	resp, err := q.gate.Sender.Send(ctx, &snipeconn.Request{
 		Address: t.Address, Method: q.r.Method, URI: q.uri, Host: q.r.Host, Header: q.r.Header,
-		Overrides: q.gate.HeaderCodec.TargetHeaders(time.Until(q.deadline), t.ID),
+		Overrides: q.gate.HeaderCodec.TargetHeaders(TargetContext{Target: t.ID, Remaining: time.Until(q.deadline), Tenant: q.tenant}),
 		Body:      q.body, HasBody: q.r.ContentLength != 0 || q.r.Header.Get("Content-Length") != "",
 		IDHeader: q.gate.HeaderCodec.IDHeader(), ID: q.call.ID, Deadline: q.deadline,
 		OpenedSince: q.firstReported(t), Confirm: func() error { return q.confirm(t) },
--- a/snipegate/gate.go
+++ b/snipegate/gate.go
@@ -78,12 +78,29 @@
 	Release(n int64)
 }
 
+// Quotas decides whether requests are within the quotas of their tenants.
+type Quotas interface {
+	// Admit takes a token of the quota of t for a request, or returns after how long the
+	// caller should retry.
+	Admit(now snipetime.Instant, t *snipetable.Tenant) (retryAfter time.Duration, admitted bool)
+	// Return gives back the token of a request that has not run and never will.
+	Return(now snipetime.Instant, t *snipetable.Tenant)
+}
+
+// Revocation tells whether the front knows which keys were revoked lately.
+type Revocation interface {
+	// Recent reports whether a table that is read after the call contains all
+	// revocations that must be in force at now.
+	Recent(now snipetime.Instant) bool
+}
+
 // Clock provides the current time.
 type Clock interface {
 	Now() snipetime.Instant
 }
 
-// Dependencies are the components that a Gate uses. All are required.
+// Dependencies are the components that a Gate uses. All are required, except for Quotas
+// and Revocation.
 type Dependencies struct {
 	HeaderCodec HeaderCodec
 	Tables      *snipetable.Holder
@@ -100,6 +117,11 @@
 	// RetryBudget returns the settings of a retry budget. It is called before each use
 	// of one, since the part of this front changes with the number of fronts.
 	RetryBudget func() sniperetry.BudgetSettings
+	// Quotas enforces the quotas of tenants; nil enforces none.
+	Quotas Quotas
+	// Revocation bounds the age of the configuration by which keys are checked; nil sets
+	// no bound.
+	Revocation Revocation
 }
 
 // Gate is the http.Handler of the callers' requests. It is safe for concurrent use.
@@ -248,8 +270,12 @@
 	startedEarly bool
 	call         RequestHeaders
 
-	table   *snipetable.Table
-	route   *snipetable.Route
+	// recent is set if table contains all revocations that must be in force.
+	recent bool
+	table  *snipetable.Table
+	route  *snipetable.Route
+	// tenant is the tenant of the key, or nil for a request that needs none.
+	tenant  *snipetable.Tenant
 	service string
 	uri     string
 	// spreadKey is the random affinity key of a request without an object.
@@ -302,7 +328,7 @@
 // routed or have no time left, and then returns false.
 func (q *request) admit() bool {
 	if q.table == nil {
-		q.table = q.gate.Tables.Current()
+		q.recent, q.table = q.gate.configuration()
 	}
 	if q.table == nil {
 		q.refuse(OutcomeNoConfiguration, time.Second)
@@ -336,6 +362,13 @@
 	return true
 }
 
+// configuration returns the table in force, which is nil before the first one, and whether
+// it contains all revocations that must be in force.
+func (g *Gate) configuration() (recent bool, table *snipetable.Table) {
+	recent = g.Revocation == nil || g.Revocation.Recent(g.Clock.Now())
+	return recent, g.Tables.Current()
+}
+
 // minLoggedWait is the pipelineWait above which the wait is logged.
 const minLoggedWait = time.Millisecond
 
--- a/snipegate/gate_test.go
+++ b/snipegate/gate_test.go
@@ -23,8 +23,8 @@
 	return RequestHeaders{ID: h.Get("Id"), Timeout: wait, Object: h.Get("Object")}
 }
 
-func (testDialect) TargetHeaders(left time.Duration, target string) []snipeconn.Field {
-	return []snipeconn.Field{{Name: "Wait", Value: left.String()}, {Name: "Target", Value: target}}
+func (testDialect) TargetHeaders(c TargetContext) []snipeconn.Field {
+	return []snipeconn.Field{{Name: "Wait", Value: c.Remaining.String()}, {Name: "Target", Value: c.Target}}
 }
 
 func (testDialect) IDHeader() string { return "Id" }
--- a/snipegate/headers.go
+++ b/snipegate/headers.go
@@ -6,6 +6,7 @@
 
 	"github.com/snipemoor/snipemoor/snipeconn"
 	"github.com/snipemoor/snipemoor/snipeplacement"
+	"github.com/snipemoor/snipemoor/snipetable"
 )
 
 // RequestHeaders holds the fields of a caller's request headers that the gate
@@ -17,6 +18,19 @@
 	Timeout time.Duration
 	// Object is the affinity key, or empty.
 	Object string
+	// Key is the API key, or empty if the headers do not contain exactly one. It must not
+	// be logged.
+	Key string
+}
+
+// TargetContext describes an attempt to the codec that writes its headers.
+type TargetContext struct {
+	// Target is the ID of the target.
+	Target string
+	// Remaining is the time until the deadline of the request.
+	Remaining time.Duration
+	// Tenant is the tenant of the request, or nil if it has none.
+	Tenant *snipetable.Tenant
 }
 
 // ResponseHeaders holds the fields of a target's response headers that the gate
@@ -54,9 +68,8 @@
 type HeaderCodec interface {
 	// Call reads the headers of a request.
 	Call(h http.Header) RequestHeaders
-	// TargetHeaders returns the headers that are set on a request to the target
-	// with the given ID. left is the time until the deadline of the request.
-	TargetHeaders(left time.Duration, target string) []snipeconn.Field
+	// TargetHeaders returns the headers that are set on a request to a target.
+	TargetHeaders(c TargetContext) []snipeconn.Field
 	// IDHeader returns the name of the header that carries RequestHeaders.ID,
 	// and that responses echo.
 	IDHeader() string
--- a/snipegate/pipeline.go
+++ b/snipegate/pipeline.go
@@ -26,13 +26,13 @@
 // request can close the connection, and the early request has then run although
 // its caller gets no response.
 func (g *Gate) ServePipelined(r *http.Request, arrived time.Time) http.Handler {
-	table := g.Tables.Current()
+	recent, table := g.configuration()
 	if g.stopping.Load() != nil || !idempotent(table, r) || !g.BodyMemory.TryAcquire(maxBufferedBytes) {
 		return nil
 	}
 	h := &bufferedResponse{gate: g, request: r, header: make(http.Header), released: make(chan struct{}), done: make(chan struct{})}
 	// A later table may have another kind of route for the request.
-	q := &request{gate: g, w: h, r: r, arrived: arrived, startedEarly: true, call: g.HeaderCodec.Call(r.Header), table: table}
+	q := &request{gate: g, w: h, r: r, arrived: arrived, startedEarly: true, call: g.HeaderCodec.Call(r.Header), recent: recent, table: table}
 	go h.run(q)
 	return h
 }
@@ -44,7 +44,7 @@
 		return false
 	}
 	route := matchRoute(table, r)
-	return route != nil && route.Kind == snipetable.Idempotent
+	return route != nil && route.Kind.Repeatable()
 }
 
 // bufferedResponse is the response to a pipelined request that was sent to a target
--- a/snipegate/promise.go
+++ b/snipegate/promise.go
@@ -9,7 +9,6 @@
 
 	"github.com/snipemoor/snipemoor/snipeconn"
 	"github.com/snipemoor/snipemoor/snipefleet"
-	"github.com/snipemoor/snipemoor/snipetable"
 )
 
 // Reasons for which an attempt has not run.
@@ -144,7 +143,7 @@
 			localAddr: resp.LocalAddr(), age: time.Since(resp.ConnOpened()), earlier: resp.EarlierRequests(),
 		},
 	})
-	if q.route.Kind != snipetable.Idempotent {
+	if !q.route.Kind.Repeatable() {
 		q.gate.refusals.add(q.gate.Clock.Now(), q.call.ID, t)
 	}
 	return true
--- a/snipegate/responses.go
+++ b/snipegate/responses.go
@@ -10,7 +10,6 @@
 	"github.com/snipemoor/snipemoor/snipeconn"
 	"github.com/snipemoor/snipemoor/snipefleet"
 	"github.com/snipemoor/snipemoor/snipeplacement"
-	"github.com/snipemoor/snipemoor/snipetable"
 )
 
 // handleFailure records an attempt that ended without a response.
@@ -72,7 +71,7 @@
 		// state so. Forwarding it could make the caller repeat what has run.
 		q.outcome = OutcomeTargetFailed
 		return mayHaveRun
-	case resp.Status >= http.StatusInternalServerError && q.route.Kind == snipetable.Idempotent &&
+	case resp.Status >= http.StatusInternalServerError && q.route.Kind.Repeatable() &&
 		resp.Stream == nil && q.acquireRetry(mayHaveRun):
 		q.outcome = OutcomeTargetFailed
 		return q.retryOrForward(resp)
@@ -104,7 +103,7 @@
 // the object cached. A late copy of its refusal can then pass for the response to the next
 // attempt, which an idempotent request survives.
 func (q *request) allowTemporarilyRefused() {
-	if q.route.Kind == snipetable.Idempotent {
+	if q.route.Kind.Repeatable() {
 		q.excluded = q.excluded[:len(q.excluded)-1]
 	}
 }
--- a/snipeplacement/chooser.go
+++ b/snipeplacement/chooser.go
@@ -68,6 +68,8 @@
 	// Info is the configuration of the service, or nil if there is none.
 	Info  *snipetable.Service
 	Route *snipetable.Route
+	// Tenant is the tenant of the request, or nil if it has none.
+	Tenant *snipetable.Tenant
 	// Object is the affinity key.
 	Object string
 	// Excluded are the targets that are not chosen, nor others at their addresses,
@@ -75,6 +77,11 @@
 	Excluded []*snipefleet.Target
 }
 
+// allowsRegion reports whether targets in a region may serve the request.
+func (q *Query) allowsRegion(region string) bool {
+	return q.Route.AllowsRegion(region) && (q.Tenant == nil || q.Tenant.AllowsRegion(region))
+}
+
 // excludes reports whether t is not chosen. It compares no pointers, because a target that
 // is reported anew is another *snipefleet.Target.
 func (q *Query) excludes(t *snipefleet.Target) bool {
--- a/snipeplacement/rest.go
+++ b/snipeplacement/rest.go
@@ -100,7 +100,7 @@
 	var soonestTarget *snipefleet.Target
 	remaining := time.Duration(math.MaxInt64)
 	for _, t := range v.Targets(q.Service) {
-		if !q.Route.AllowsRegion(t.Place.Region) {
+		if !q.allowsRegion(t.Place.Region) {
 			continue
 		}
 		s := c.known(t)
--- a/snipeplacement/selection.go
+++ b/snipeplacement/selection.go
@@ -58,7 +58,7 @@
 		if s.considered == targetsPerObject {
 			break
 		}
-		if !s.query.Route.AllowsRegion(t.Place.Region) || s.query.excludes(t) {
+		if !s.query.allowsRegion(t.Place.Region) || s.query.excludes(t) {
 			continue
 		}
 		candidate := s.evaluate(t)
--- a/snipetable/table.go
+++ b/snipetable/table.go
@@ -19,8 +19,13 @@
 	NonIdempotent
 	// Upload requests have large bodies and are executed at most once.
 	Upload
+	// Download requests have large responses and may be executed more than once.
+	Download
 )
 
+// Repeatable reports whether a request of this kind may be executed more than once.
+func (k Kind) Repeatable() bool { return k == Idempotent || k == Download }
+
 // String returns the name of the kind in logs and metrics.
 func (k Kind) String() string {
 	switch k {
@@ -30,6 +35,8 @@
 		return "nonIdempotent"
 	case Upload:
 		return "upload"
+	case Download:
+		return "download"
 	default:
 		return "unknown"
 	}
@@ -69,11 +76,16 @@
 	// Regions lists the regions whose targets may serve the route; empty allows
 	// all.
 	Regions []string
+	// Public routes need no key, and name no tenant to targets.
+	Public bool
 }
 
 // AllowsRegion reports whether targets in region may serve the route.
-func (r *Route) AllowsRegion(region string) bool {
-	return len(r.Regions) == 0 || slices.Contains(r.Regions, region)
+func (r *Route) AllowsRegion(region string) bool { return allowsRegion(r.Regions, region) }
+
+// allowsRegion reports whether a list of regions, where empty allows all, has a region.
+func allowsRegion(regions []string, region string) bool {
+	return len(regions) == 0 || slices.Contains(regions, region)
 }
 
 // PickService returns the name of a service, selected with a probability
@@ -166,7 +178,7 @@
 		return fmt.Errorf("no host: %w", ErrInvalid)
 	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
 		return fmt.Errorf("prefix %q does not begin and end with a slash: %w", r.Prefix, ErrInvalid)
-	case r.Kind < Idempotent || r.Kind > Upload:
+	case r.Kind < Idempotent || r.Kind > Download:
 		return fmt.Errorf("unknown kind: %w", ErrInvalid)
 	case r.Timeout <= 0:
 		return fmt.Errorf("timeout %v is not positive: %w", r.Timeout, ErrInvalid)
