snipefront, platform: the directory prefers large fronts

Cause: fronts of a failure domain differ by a factor of five in processor share and of twenty in their links, and the directory named all of them alike. Of dmsau's 78 fronts each opened a connection for every second request, and cross-region ones then take another round trip. Change: a front states its cores in its entry; the directory names the large fronts of the caller's failure domain, or of its region, if there are two and they have a third of all capacity. Where all are alike nothing changes. Of more than 64 fronts a random selection is named instead of the first 64 by name.

--- a/snipefleet/types.go
+++ b/snipefleet/types.go
@@ -75,6 +75,8 @@
 	// of other fronts.
 	Address, Peer string
 	Place         Place
+	// Cores is the processor capacity of the front in cores, or 0 if it states none.
+	Cores float64
 }
 
 // View is a consistent snapshot of the registry. It is immutable.
--- a/snipefront/addressbook.go
+++ b/snipefront/addressbook.go
@@ -1,6 +1,7 @@
 package snipefront
 
 import (
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -15,8 +16,9 @@
 	addressTTL = 3 * time.Second
 )
 
-// addressBook provides the addresses of the fronts that a caller may use: those in
-// its failure domain; if there are none, those in its region; otherwise all.
+// addressBook provides the addresses of the fronts that a caller may use: the large ones
+// in its failure domain or region, and else all in its failure domain; if there are none,
+// those in its region; otherwise all.
 type addressBook struct {
 	self  snipefleet.Member
 	fleet *snipefleet.Registry
@@ -28,15 +30,64 @@
 
 // Addresses implements platform.AddressLister.
 func (b *addressBook) Addresses(caller snipefleet.Place) ([]string, time.Duration) {
-	members := b.acceptingFronts()
-	addresses := filterAddresses(members, func(m *snipefleet.Member) bool { return m.Place.Domain == caller.Domain })
-	if len(addresses) == 0 {
-		addresses = filterAddresses(members, func(m *snipefleet.Member) bool { return m.Place.Region == caller.Region })
+	addresses := selectFronts(b.acceptingFronts(), caller)
+	if len(addresses) > maxAddresses {
+		// A random selection, so that each front is named to some callers.
+		rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+		addresses = addresses[:maxAddresses]
 	}
-	if len(addresses) == 0 {
-		addresses = filterAddresses(members, func(*snipefleet.Member) bool { return true })
+	return addresses, min(addressTTL, b.ttl())
+}
+
+// selectFronts returns the addresses of the fronts that a caller at a place should use.
+func selectFronts(members []snipefleet.Member, caller snipefleet.Place) []string {
+	sameDomain := func(m *snipefleet.Member) bool { return m.Place.Domain == caller.Domain }
+	sameRegion := func(m *snipefleet.Member) bool { return m.Place.Region == caller.Region }
+	large := largeFronts(members)
+	for _, near := range []func(*snipefleet.Member) bool{sameDomain, sameRegion} {
+		// Two at least, so that callers have another one when one fails.
+		if addresses := filterAddresses(large, near); len(addresses) >= 2 {
+			return addresses
+		}
+	}
+	for _, near := range []func(*snipefleet.Member) bool{sameDomain, sameRegion} {
+		if addresses := filterAddresses(members, near); len(addresses) > 0 {
+			return addresses
+		}
+	}
+	return filterAddresses(members, func(*snipefleet.Member) bool { return true })
+}
+
+const (
+	// largeShare is the part of the capacity of the largest front from which a front counts
+	// as large.
+	largeShare = 0.5
+	// minLargeCapacity is the part of the capacity of all fronts that the large ones must
+	// have to be used alone. It bounds the load of a core at three times that of an even
+	// division.
+	minLargeCapacity = 1.0 / 3
+)
+
+// largeFronts returns the members that are large enough to be used alone. It returns nil if
+// they have too little of the capacity, and if there are no smaller ones.
+func largeFronts(members []snipefleet.Member) []snipefleet.Member {
+	largest, total := 0.0, 0.0
+	for i := range members {
+		largest = max(largest, members[i].Cores)
+		total += members[i].Cores
+	}
+	var large []snipefleet.Member
+	sum := 0.0
+	for i := range members {
+		if members[i].Cores >= largeShare*largest {
+			large = append(large, members[i])
+			sum += members[i].Cores
+		}
+	}
+	if sum < minLargeCapacity*total || len(large) == len(members) {
+		return nil
 	}
-	return addresses[:min(len(addresses), maxAddresses)], min(addressTTL, b.ttl())
+	return large
 }
 
 // acceptingFronts returns the fronts that accept callers. For this front, it uses
--- a/snipefront/front.go
+++ b/snipefront/front.go
@@ -94,7 +94,7 @@
 		clock: snipetime.New(), fleet: snipefleet.New(), tables: &snipetable.Holder{},
 		pools: snipeconn.New(snipeconn.Settings{Memory: memory}),
 	}
-	self := snipefleet.Member{Name: s.Name, Address: s.CallerListen, Peer: s.PeerListen, Place: s.Place}
+	self := snipefleet.Member{Name: s.Name, Address: s.CallerListen, Peer: s.PeerListen, Place: s.Place, Cores: s.Cores}
 	f.quotas = snipequota.New(self, f.fleet, log)
 	f.chooser = snipeplacement.New(s.Name, s.Place, f.quotas)
 	f.settings.Store(s)
