snipefeed, snipesync: a front knows at what time the store confirmed its configuration

Age counts from the receipt of an answer, so that neither the duration of a call nor the transit of a reply is in it, and it says nothing about the configuration if that could not be put in force.

Change: beside Age, the log keeps the begin of the store call whose response last showed that there was nothing newer, in boot time, and fronts pass it on relative to the receipt of a request. A stale listing, a source that is behind the log and an answer of the store as of an older revision confirm nothing. snipesync.Revocation publishes it for the table in force, after the table, and only while the newest item of a configuration is the one in force. Where revocation is strict, watches follow each other after about one second with a short wait, and a front asks at once after a stale listing.

--- a/snipefeed/log.go
+++ b/snipefeed/log.go
@@ -34,6 +34,9 @@
 	position  Position
 	// confirmed is when the store last confirmed that there was nothing newer.
 	confirmed snipetime.Instant
+	// confirmation is the latest confirmation of the items by the store. Unlike
+	// confirmed, it counts from the begin of a call.
+	confirmation Confirmation
 	// losses counts the calls of RecordLoss.
 	losses uint64
 	// changed is closed, and replaced, when position changes.
@@ -51,6 +54,13 @@
 	return l.position
 }
 
+// Confirmation returns the latest confirmation of the items by the store.
+func (l *Log) Confirmation() Confirmation {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.confirmation
+}
+
 // RecordLoss records that this front lost contact with the store. Batches
 // report the number of these losses.
 func (l *Log) RecordLoss() {
@@ -69,7 +79,7 @@
 		l.items[b.Items[i].Key] = b.Items[i]
 	}
 	l.changes, l.changeBytes, l.compacted = nil, 0, b.Position.Revision
-	l.confirmed = now.Add(-b.Age)
+	l.confirmed, l.confirmation = now.Add(-b.Age), b.Confirmed
 	l.moveTo(b.Position)
 }
 
@@ -90,7 +100,12 @@
 	}
 	l.trimHistory()
 	l.confirmed = max(l.confirmed, now.Add(-b.Age))
-	if b.Position.Compare(l.position) > 0 {
+	order := b.Position.Compare(l.position)
+	if order >= 0 {
+		// A source that is behind this log confirms other items than those of the log.
+		l.confirmation = laterOf(l.confirmation, b.Confirmed)
+	}
+	if order > 0 {
 		l.moveTo(b.Position)
 	}
 }
@@ -178,5 +193,7 @@
 // newBatch returns a batch of items at the current position. The caller holds the
 // lock.
 func (l *Log) newBatch(now snipetime.Instant, items []Item) Batch {
-	return Batch{Items: items, Position: l.position, Age: max(now.Sub(l.confirmed), 0), StoreLosses: l.losses}
+	return Batch{
+		Items: items, Position: l.position, Age: max(now.Sub(l.confirmed), 0), Confirmed: l.confirmation, StoreLosses: l.losses,
+	}
 }
--- a/snipefeed/peer.go
+++ b/snipefeed/peer.go
@@ -48,6 +48,7 @@
 // started.
 func Serve(node *snipepeer.Node, l *Log, loads LoadExchange, limits LimitExchange, clock Clock) {
 	snipepeer.HandleCall(node, func(ctx context.Context, from snipepeer.Peer, req *snipewire.ItemsRequest) (*snipewire.ItemsReply, error) {
+		received := clock.Now() // before anything else: confirmations are stated relative to it
 		loads.MergeLoads(clock.Now(), decodeLoads(req.GetLoads()))
 		limits.MergeLimitReports(clock.Now(), from.Address, decodeLimits(req.GetLimits()))
 		b, err := readLog(ctx, l, clock, req)
@@ -58,6 +59,7 @@
 			return nil, err
 		}
 		reply := encodeBatch(b)
+		reply.ConfirmedMillis, reply.Confirmed = b.Confirmed.SinceReceipt(received)
 		age := time.Duration(req.GetLoadsAgeMillis()) * time.Millisecond
 		reply.Loads = encodeLoads(loads.RecentLoads(clock.Now(), age))
 		reply.Limits = encodeLimits(limits.AnswerLimitReports(clock.Now(), from.Address, time.Duration(req.GetLimitsAgeMillis())*time.Millisecond))
@@ -199,5 +201,9 @@
 	now := p.peers.clock.Now()
 	p.peers.loads.MergeLoads(now, decodeLoads(reply.GetLoads()))
 	p.peers.limits.ApplyLimitReports(sent, now, p.address, decodeLimits(reply.GetLimits()))
-	return decodeBatch(reply), nil
+	b := decodeBatch(reply)
+	if reply.GetConfirmed() {
+		b.Confirmed = ConfirmedByPeer(sent, now, reply.GetConfirmedMillis())
+	}
+	return b, nil
 }
--- a/snipefeed/source.go
+++ b/snipefeed/source.go
@@ -54,6 +54,12 @@
 	// Age is the time since the store confirmed that there was nothing newer; 0 if
 	// the store itself answered.
 	Age time.Duration
+	// Confirmed is the last confirmation by the store that there was nothing newer than
+	// the items up to Position.
+	Confirmed Confirmation
+	// Behind means that the source answered as of an earlier revision than the one after
+	// which it was asked for changes, so that it confirms nothing.
+	Behind bool
 	// StoreLosses counts how often the source lost contact with the store.
 	StoreLosses uint64
 }
--- a/snipesync/changes.go
+++ b/snipesync/changes.go
@@ -29,6 +29,9 @@
 // the changes do not contain is removed.
 func (f *Follower) applyChanges(changes []Change, full bool) {
 	now := f.Clock.Now()
+	if full {
+		f.tableCurrent = false // until the listing turns out to contain the table in force
+	}
 	f.Registry.Batch(func() {
 		for i := range changes {
 			f.applyChange(now, &changes[i], full)
@@ -148,8 +151,9 @@
 
 // applyTable puts a table in force if its version is higher than the one in force, or
 // if that version was written again later with other content. A removed or undecodable
-// configuration leaves the table in force as it is.
+// configuration leaves the table in force as it is. It sets tableCurrent.
 func (f *Follower) applyTable(c *Change) {
+	f.tableCurrent = false
 	if c.Table == nil {
 		return
 	}
@@ -166,12 +170,13 @@
 		f.Log.Info("older configuration ignored", append(fields, zap.Uint64("inForce", current.Version()))...)
 		return
 	case item.position.Compare(f.tableItem.position) <= 0:
+		f.tableCurrent = item.digest == f.tableItem.digest
 		return
 	case item.digest != f.tableItem.digest:
 		f.Tables.ReplaceVersion(c.Table)
 		f.Log.Warn("configuration in force has changed under its version", fields...)
 	}
-	f.tableItem = item
+	f.tableItem, f.tableCurrent = item, true
 }
 
 // tableItem identifies the item of a configuration by its position in the store and
--- a/snipesync/fetch.go
+++ b/snipesync/fetch.go
@@ -17,7 +17,7 @@
 		if !f.listed {
 			return peer.List(ctx) //nolint:wrapcheck // logged with its context by poll
 		}
-		return peer.Watch(ctx, after, f.Timing.peerWait) //nolint:wrapcheck // logged with its context by poll
+		return peer.Watch(ctx, after, f.peerWait()) //nolint:wrapcheck // logged with its context by poll
 	}
 	if !f.listed {
 		ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
@@ -25,14 +25,22 @@
 		if after.Revision == 0 {
 			return f.listStale(ctx)
 		}
-		return f.Store.List(ctx) //nolint:wrapcheck // logged with its context by poll
+		began := f.Clock.Now()
+		batch, err := f.Store.List(ctx)
+		batch.Confirmed = snipefeed.ConfirmedAt(began)
+		return batch, err //nolint:wrapcheck // logged with its context by poll
 	}
 	wait := f.watchWait(choice)
 	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
 	stop := f.cancelOnInterrupt(cancel)
 	defer stop()
-	return f.Store.Watch(ctx, after, wait) //nolint:wrapcheck // logged with its context by poll
+	began := f.Clock.Now()
+	batch, err := f.Store.Watch(ctx, after, wait)
+	if !batch.Behind {
+		batch.Confirmed = snipefeed.ConfirmedAt(began)
+	}
+	return batch, err //nolint:wrapcheck // logged with its context by poll
 }
 
 // listStale returns the first listing of a front. It is stale because many fronts
@@ -40,20 +48,30 @@
 // returns the changes since.
 func (f *Follower) listStale(ctx context.Context) (snipefeed.Batch, error) {
 	batch, err := f.Store.ListStale(ctx)
-	batch.Age = staleListingAge
+	batch.Age, batch.Confirmed = staleListingAge, snipefeed.Confirmation{}
 	return batch, err //nolint:wrapcheck // logged with its context by poll
 }
 
+// peerWait returns how long another front may wait for a change. Where revocation is
+// strict, a front whose listing is stale asks for a confirmation without a wait.
+func (f *Follower) peerWait() time.Duration {
+	if f.stale && f.Revocation.Strict() {
+		return 0
+	}
+	return f.Timing.peerWait
+}
+
 // watchWait returns how long the store may wait for a change. After a loss of the
 // store it is short, so that the front soon detects that the store answers again.
 func (f *Follower) watchWait(choice snipefeed.Selection) time.Duration {
+	timing := f.timing()
 	switch {
 	case f.disconnected:
-		return disconnectedWait
+		return min(disconnectedWait, timing.watchWait)
 	case choice.ServesPeers:
-		return f.Timing.servingWait
+		return timing.servingWait
 	default:
-		return f.Timing.watchWait
+		return timing.watchWait
 	}
 }
 
--- a/snipesync/follower.go
+++ b/snipesync/follower.go
@@ -61,7 +61,7 @@
 }
 
 // Dependencies are the parts that a Follower uses. All are required, except that
-// Peers may be nil if Selector never selects another front.
+// Revocation may be nil, and Peers if Selector never selects another front.
 type Dependencies struct {
 	// OwnName is the name of this front.
 	OwnName  string
@@ -73,8 +73,10 @@
 	Decoder  Decoder
 	Registry *snipefleet.Registry
 	Tables   *snipetable.Holder
-	Clock    Clock
-	Log      *zap.Logger
+	// Revocation receives the confirmations of the table in force. It may be nil.
+	Revocation *Revocation
+	Clock      Clock
+	Log        *zap.Logger
 }
 
 // Follower applies the items of the store and their changes to a registry and a
@@ -97,6 +99,10 @@
 	settleAt snipetime.Instant
 	// tableItem is the item of the configuration in force.
 	tableItem tableItem
+	// tableCurrent means that the newest item of a configuration in Items is the one in
+	// force. It is false if that item cannot be decoded, was ignored as older, or was
+	// removed, because it may remove keys that the table in force contains.
+	tableCurrent bool
 	// source is the source in use, for logs.
 	source string
 	// peerLosses holds the number of losses of the store that each other front last
@@ -115,6 +121,9 @@
 
 // NewFollower returns a follower that starts with Run.
 func NewFollower(d Dependencies) *Follower {
+	if d.Revocation == nil {
+		d.Revocation = NewRevocation(0)
+	}
 	return &Follower{
 		Dependencies: d, peerLosses: make(map[string]uint64), storeBackoff: newBackoff(),
 		loaded: make(chan struct{}), entryRemoved: make(chan struct{}, 1), interrupt: make(chan struct{}, 1),
@@ -175,15 +184,19 @@
 
 // pollDelay returns the time to the next poll. It is 0 after a call to another front,
 // which itself waits for a change, and after a stale listing that contains a watcher,
-// which is asked for the changes since. While lapsed entries are in use, the delay
+// which is asked for the changes since. Where revocation is strict, it is 0 after every
+// stale listing, because such a listing confirms nothing. While lapsed entries are in use, the delay
 // ends with their grace period at the latest.
 func (f *Follower) pollDelay(choice snipefeed.Selection) time.Duration {
-	delay := f.Timing.watchPause
+	timing := f.timing()
+	delay := timing.watchPause
 	switch {
+	case f.stale && f.Revocation.Strict():
+		return 0
 	case choice.Peer != "", f.stale && f.Selector.Select(f.Clock.Now(), f.Registry.View().Members()).Peer != "":
 		return 0
 	case choice.ServesPeers:
-		delay = f.Timing.servingPause
+		delay = timing.servingPause
 	}
 	if grace := f.Registry.GraceRemaining(f.Clock.Now()); grace > 0 {
 		return min(grace, delay)
@@ -191,6 +204,14 @@
 	return delay
 }
 
+// timing returns the times that apply now. The settings can change them at any time.
+func (f *Follower) timing() Timing {
+	if f.Revocation.Strict() {
+		return f.Timing.strict()
+	}
+	return f.Timing
+}
+
 // isLoaded reports whether Loaded is closed.
 func (f *Follower) isLoaded() bool {
 	select {
--- a/snipesync/poll.go
+++ b/snipesync/poll.go
@@ -111,9 +111,19 @@
 	f.applyBatch(before.Revision, changes, full, fresh)
 	f.removeLapsed()
 	f.settle()
+	f.publishConfirmation()
 	f.markLoaded()
 }
 
+// publishConfirmation passes the confirmation of the items on as that of the table in
+// force, if the newest configuration is in force. It is called after changes have been
+// applied, so that the table in force is never older than its confirmation.
+func (f *Follower) publishConfirmation() {
+	if f.tableCurrent {
+		f.Revocation.confirm(f.Items.Confirmation(), f.source)
+	}
+}
+
 // storeUsable reports whether the store can be asked for changes that the chosen
 // front no longer keeps.
 func (f *Follower) storeUsable(choice snipefeed.Selection) bool {
--- a/snipesync/timing.go
+++ b/snipesync/timing.go
@@ -53,6 +53,30 @@
 	}
 }
 
+const (
+	// strictPeriod is the time between two calls of a watcher to the store where
+	// revocation is strict. Each call costs money, and the age of what a front knows
+	// grows with it.
+	strictPeriod = time.Second
+	// strictWait bounds how long the store waits for a change in such a call. What a
+	// watch confirms counts from its begin, so that the wait adds to the age twice.
+	strictWait = 50 * time.Millisecond
+)
+
+// strict returns the times for strict revocation: short waits of the store, and no
+// longer period than without it. They apply to all watches of the store, because a
+// front that is not asked by others has to know of revocations too. What a front knows
+// from a watcher is at most strictPeriod, strictWait and peerWait old, plus the duration
+// of the calls.
+func (t Timing) strict() Timing {
+	period := min(strictPeriod, t.servingPause+t.servingWait)
+	t.watchWait = min(strictWait, t.servingWait)
+	t.servingWait = t.watchWait
+	t.watchPause = period - t.watchWait
+	t.servingPause = t.watchPause
+	return t
+}
+
 // shortestBound returns the shortest positive bound, or the default if there is
 // none.
 func shortestBound(bounds []time.Duration) time.Duration {
--- a/snipesync/timing_test.go
+++ b/snipesync/timing_test.go
@@ -31,3 +31,31 @@
 		t.Error("defaults differ from stated bounds of the same length")
 	}
 }
+
+// TestStrictTiming guards against a front whose knowledge is so old in normal operation
+// that it refuses keys soon after it has lost the store, and against more than about one
+// call a second to the store, which costs money.
+func TestStrictTiming(t *testing.T) {
+	const (
+		platformBound = 3 * time.Second
+		evacuation    = 5 * time.Second
+		calls         = 50 * time.Millisecond // duration of two calls to the store and one to a front
+		maxKnowledge  = 1600 * time.Millisecond
+		minPeriod     = 900 * time.Millisecond
+	)
+	tm := NewTiming(4*time.Second, platformBound, platformBound, evacuation).strict()
+	if age := tm.servingPause*105/100 + 2*tm.servingWait + tm.peerWait + calls; age > maxKnowledge {
+		t.Errorf("a front knows what the store held up to %v ago, want at most %v", age, maxKnowledge)
+	}
+	if tm.servingPause*95/100 < minPeriod {
+		t.Errorf("calls to the store %v apart, want at least %v", tm.servingPause, minPeriod)
+	}
+	for _, bound := range []time.Duration{500 * time.Millisecond, 2500 * time.Millisecond, platformBound, time.Minute} {
+		usual := NewTiming(4*time.Second, bound)
+		strict := usual.strict()
+		if strict.servingPause+strict.servingWait > usual.servingPause+usual.servingWait || strict.servingPause <= 0 || strict.servingWait <= 0 {
+			t.Errorf("bound %v: pause %v, wait %v, without strict revocation %v and %v", bound,
+				strict.servingPause, strict.servingWait, usual.servingPause, usual.servingWait)
+		}
+	}
+}
