snipefront: bounds the age of the configuration by which keys are checked

Wires snipesync.Revocation into the gate and the follower; the bound follows a reload of the settings. Metrics: age of the confirmed configuration, changes between refusing and serving; a log line at each with the source and the age.

--- a/snipefront/front.go
+++ b/snipefront/front.go
@@ -76,6 +76,9 @@
 	follower  *snipesync.Follower
 	announcer *snipesync.Announcer
 	book      *addressBook
+	// revocation bounds the age of the configuration; monitor logs and counts it.
+	revocation *snipesync.Revocation
+	monitor    *revocationMonitor
 }
 
 // New returns a front. It listens for other fronts at once; everything else starts
@@ -98,6 +101,8 @@
 	f.quotas = snipequota.New(self, f.fleet, log)
 	f.chooser = snipeplacement.New(s.Name, s.Place, f.quotas)
 	f.settings.Store(s)
+	f.revocation = snipesync.NewRevocation(revocationBound(s.Bounds))
+	f.monitor = &revocationMonitor{revocation: f.revocation, loaded: func() bool { return f.tables.Current() != nil }, log: log}
 	if err := f.setUpFollower(s, self); err != nil {
 		return nil, err
 	}
@@ -106,13 +111,14 @@
 	f.gate = snipegate.New(snipegate.Dependencies{
 		HeaderCodec: platform.Headers{}, Tables: f.tables, Fleet: f.fleet, Chooser: f.chooser,
 		Limits: f.quotas, Sender: f.pools, Clock: f.clock, Metrics: snipegate.NewMetrics(f.registry), Log: requests,
-		BodyMemory: memory,
+		BodyMemory: memory, Revocation: f.revocation,
 		RetryBudget: func() sniperetry.BudgetSettings {
 			return retryBudget(f.settings.Load().Bounds, len(f.fleet.View().Members()))
 		},
 	})
 	f.registerConnectionMetrics()
 	f.registerStateMetrics()
+	f.monitor.register(f.registry, f.clock)
 	return f, nil
 }
 
@@ -122,7 +128,7 @@
 	d := snipesync.Dependencies{
 		OwnName: self.Name, Timing: snipesync.NewTiming(s.Bounds.Stability, s.Bounds.Drain, s.Bounds.Config, s.Bounds.Evacuation),
 		Store: f.store, Selector: snipefeed.NewSourceSelector(self, nil), Items: f.items, Decoder: f.decoder,
-		Registry: f.fleet, Tables: f.tables, Clock: f.clock, Log: f.log,
+		Registry: f.fleet, Tables: f.tables, Revocation: f.revocation, Clock: f.clock, Log: f.log,
 	}
 	if s.PeerListen != "" {
 		node, err := newNode(s, d.Items, f.chooser, f.quotas, f.clock, f.log)
@@ -226,6 +232,7 @@
 		zap.String("callers", settings.CallerListen), zap.String("store", settings.Store), zap.String("metrics", f.metricsAddress))
 	f.clock.Every(sweepInterval, f.removeStale)
 	f.clock.Every(limitInterval, f.divideLimits)
+	f.clock.Every(revocationInterval, f.monitor.observe)
 
 	var g run.Group
 	stopped := make(chan struct{})
--- a/snipefront/reload.go
+++ b/snipefront/reload.go
@@ -59,6 +59,7 @@
 		return
 	}
 	f.settings.Store(next)
+	f.revocation.SetBound(revocationBound(next.Bounds))
 	f.log.Info("settings reloaded", zap.String("cause", cause), zap.Bool("changed", true),
 		zap.Any("bounds", next.Bounds), zap.Any("regions", next.Regions))
 	if !maps.Equal(old.Regions, next.Regions) {
