snipefeed, snipesync: a watcher that lost the store finds one that has it

A change of the configuration reached a front late, or not at all, while the store rejected it and other watchers but not all.

Cause: the sources to fall back on were asked in the fixed order of rendezvous hashing. One that has lost the store too waits 375 ms before it answers with old data, and is left for 500 ms only. With two or three such sources before the one that has the store, the first was asked again before the last one was reached, so that the front went round the first three as long as the store rejected them.

Change: the selector keeps what other fronts answered within the last second. A source whose data is as recent as that of a watcher with the store comes first, then one that was not asked lately, then those that have lost the store; within a rank the newer by position and confirmation. A source that was not asked lately answers at once. A front that follows this one has data no newer than this one's, so its age puts it last.

--- a/snipefeed/selector.go
+++ b/snipefeed/selector.go
@@ -29,6 +29,9 @@
 	// Fallback means that Peer is a fallback: this front would ask the store if
 	// the store answered.
 	Fallback bool
+	// Probe means that it is not known whether Peer has recent data, so that it is to
+	// answer at once.
+	Probe bool
 }
 
 // SourceSelector selects the source from which a front receives the items of
@@ -42,13 +45,17 @@
 	// storeRetryAt is when the store may be asked again after it failed to answer.
 	// Until fallbackUntil the front prefers another front to the store.
 	storeRetryAt, fallbackUntil snipetime.Instant
+	// sightings holds what other fronts last answered, by their peer address.
+	sightings map[string]sighting
 }
 
 // NewSourceSelector returns the selector of the front self. seeds are peer
 // addresses of fronts to ask when neither the store nor a watcher among the
 // members can be asked, as on a start without the store.
 func NewSourceSelector(self snipefleet.Member, seeds []string) *SourceSelector {
-	return &SourceSelector{self: self, seeds: seeds, backoffUntil: make(map[string]snipetime.Instant)}
+	return &SourceSelector{
+		self: self, seeds: seeds, backoffUntil: make(map[string]snipetime.Instant), sightings: make(map[string]sighting),
+	}
 }
 
 // Select returns the source to ask now, given the registered members. If that
@@ -62,15 +69,16 @@
 	c.ServesPeers = c.IsWatcher && len(groups.Fronts(own)) > 1
 	if !c.IsWatcher {
 		if peer := p.pickWatcher(now, ownWatchers); peer != "" {
-			c.Peer = peer
+			c.Peer, c.Probe = peer, !p.sightings[peer].countsAt(now)
 			return c
 		}
 	}
 	if !now.Before(max(p.storeRetryAt, p.fallbackUntil)) {
 		return c
 	}
-	c.Peer = cmp.Or(p.pickWatcher(now, ownWatchers), p.pickWatcher(now, groups.WatchersOfOthers(own)), p.pickSeed(now))
+	c.Peer = cmp.Or(p.pickFallback(now, ownWatchers, groups.WatchersOfOthers(own)), p.pickSeed(now))
 	c.Fallback = c.Peer != ""
+	c.Probe = c.Fallback && !p.sightings[c.Peer].countsAt(now)
 	return c
 }
 
@@ -108,23 +116,17 @@
 // backOff excludes a front for the time d, and forgets expired exclusions.
 func (p *SourceSelector) backOff(now snipetime.Instant, peer string, d time.Duration) {
 	maps.DeleteFunc(p.backoffUntil, func(_ string, until snipetime.Instant) bool { return !now.Before(until) })
+	maps.DeleteFunc(p.sightings, func(_ string, s sighting) bool { return !s.countsAt(now) })
 	p.backoffUntil[peer] = now.Add(d)
 }
 
 // pickWatcher returns the address of one of the watchers that may be asked, or an
 // empty string. Rendezvous hashing spreads the fronts over the watchers.
 func (p *SourceSelector) pickWatcher(now snipetime.Instant, watchers []snipefleet.Member) string {
-	address, best := "", uint64(0)
-	for i := range watchers {
-		w := &watchers[i]
-		if w.Name == p.self.Name || now.Before(p.backoffUntil[w.Peer]) {
-			continue
-		}
-		if h := snipefleet.RendezvousWeight(p.self.Name, w.Name); address == "" || h > best {
-			address, best = w.Peer, h
-		}
+	if ranked := p.rankWatchers(now, watchers); len(ranked) > 0 {
+		return ranked[0]
 	}
-	return address
+	return ""
 }
 
 // pickSeed returns the first seed that may be asked, or an empty string.
--- a/snipesync/fetch.go
+++ b/snipesync/fetch.go
@@ -17,7 +17,7 @@
 		if !f.listed {
 			return peer.List(ctx) //nolint:wrapcheck // logged with its context by poll
 		}
-		return peer.Watch(ctx, after, f.peerWait()) //nolint:wrapcheck // logged with its context by poll
+		return peer.Watch(ctx, after, f.peerWait(choice)) //nolint:wrapcheck // logged with its context by poll
 	}
 	if !f.listed {
 		ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
@@ -52,10 +52,12 @@
 	return batch, err //nolint:wrapcheck // logged with its context by poll
 }
 
-// peerWait returns how long another front may wait for a change. Where revocation is
-// strict, a front whose listing is stale asks for a confirmation without a wait.
-func (f *Follower) peerWait() time.Duration {
-	if f.stale && f.Revocation.Strict() {
+// peerWait returns how long another front may wait for a change. It is to answer at once
+// if it may have lost the store, so that several such fronts can be asked in turn. Where
+// revocation is strict, a front whose listing is stale asks for a confirmation without a
+// wait too.
+func (f *Follower) peerWait(choice snipefeed.Selection) time.Duration {
+	if choice.Probe || f.stale && f.Revocation.Strict() {
 		return 0
 	}
 	return f.Timing.peerWait
--- a/snipesync/follower.go
+++ b/snipesync/follower.go
@@ -138,21 +138,29 @@
 // retried.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if f.redecode.Swap(false) {
-			f.applyAll()
+		if pause := f.step(ctx); pause > 0 {
+			sleep(ctx, pause)
 		}
-		choice := f.Selector.Select(f.Clock.Now(), f.Registry.View().Members())
-		if choice.Peer == "" {
-			if wait := f.Selector.StoreRetryIn(f.Clock.Now()); wait > 0 {
-				sleep(ctx, wait)
-				continue
-			}
-		}
-		f.logSource(choice)
-		if f.poll(ctx, choice) {
-			sleep(ctx, f.pollDelay(choice))
+	}
+}
+
+// step selects a source and asks it once, unless the store may not be asked yet. It
+// returns the time to the next step.
+func (f *Follower) step(ctx context.Context) time.Duration {
+	if f.redecode.Swap(false) {
+		f.applyAll()
+	}
+	choice := f.Selector.Select(f.Clock.Now(), f.Registry.View().Members())
+	if choice.Peer == "" {
+		if wait := f.Selector.StoreRetryIn(f.Clock.Now()); wait > 0 {
+			return wait
 		}
 	}
+	f.logSource(choice)
+	if !f.poll(ctx, choice) {
+		return 0
+	}
+	return f.pollDelay(choice)
 }
 
 // logSource logs the source if it differs from the previous one.
--- a/snipesync/poll.go
+++ b/snipesync/poll.go
@@ -64,6 +64,9 @@
 // next.
 func (f *Follower) usable(choice snipefeed.Selection, before snipefeed.Position, batch snipefeed.Batch) bool {
 	now, at := f.Clock.Now(), batch.Position
+	if choice.Peer != "" {
+		f.Selector.PeerAnswered(now, choice.Peer, at, batch.Age, batch.Age <= f.Timing.usualAge())
+	}
 	fields := []zap.Field{
 		zap.String("peer", choice.Peer), zap.Duration("age", batch.Age),
 		zap.Uint64("epoch", uint64(at.Epoch)), zap.Uint64("revision", uint64(at.Revision)),
--- a/snipesync/revocation_test.go
+++ b/snipesync/revocation_test.go
@@ -211,16 +211,16 @@
 func TestStrictStart(t *testing.T) {
 	h, _ := newStrictHarness(t)
 	choice := snipefeed.Selection{IsWatcher: true}
-	if d := h.follower.pollDelay(choice); d != 0 || h.follower.peerWait() != 0 {
-		t.Errorf("pause of %v, wait of another front of %v, want none", d, h.follower.peerWait())
+	if d := h.follower.pollDelay(choice); d != 0 || h.follower.peerWait(choice) != 0 {
+		t.Errorf("pause of %v, wait of another front of %v, want none", d, h.follower.peerWait(choice))
 	}
 	h.pollOnce(t)
-	if d := h.follower.pollDelay(choice); d == 0 || h.follower.peerWait() == 0 {
-		t.Errorf("pause of %v, wait of another front of %v after a confirmation", d, h.follower.peerWait())
+	if d := h.follower.pollDelay(choice); d == 0 || h.follower.peerWait(choice) == 0 {
+		t.Errorf("pause of %v, wait of another front of %v after a confirmation", d, h.follower.peerWait(choice))
 	}
 	h.follower.Revocation.SetBound(0)
 	h.follower.stale = true
-	if h.follower.pollDelay(choice) == 0 || h.follower.peerWait() == 0 {
+	if h.follower.pollDelay(choice) == 0 || h.follower.peerWait(choice) == 0 {
 		t.Error("strict times apply although revocation is not strict")
 	}
 }
--- a/snipesync/timing.go
+++ b/snipesync/timing.go
@@ -77,6 +77,11 @@
 	return t
 }
 
+// usualAge returns the greatest age of the data of a watcher that has the store, apart
+// from the duration of calls. Older data is used up to maxPeerAge, but another front that
+// may have newer data is asked first.
+func (t Timing) usualAge() time.Duration { return t.servingPause + t.servingWait }
+
 // shortestBound returns the shortest positive bound, or the default if there is
 // none.
 func shortestBound(bounds []time.Duration) time.Duration {
