snipefeed: a confirmation by the store wakes the calls between fronts

A front that follows a watcher learned of a confirmation only at the end of its long poll, so that a front which lost the store served keys for less than 3/5 of revoke_ms.

Change: where revocation is strict, a later confirmation ends the wait of ChangesAfter, as a change does; watchers call the store every 0.9 s instead of 1 s.

--- a/snipefeed/confirmation_test.go
+++ b/snipefeed/confirmation_test.go
@@ -102,3 +102,38 @@
 		t.Errorf("confirmed at %v, known %v, error %v, want at most %v and at most 1 s earlier", got, known, err, began)
 	}
 }
+
+// TestWakeOnConfirmation guards against a front that learns of a confirmation only when
+// its call ends, and against more calls between fronts where nothing asks for that.
+func TestWakeOnConfirmation(t *testing.T) {
+	clock := snipetime.NewManual(0)
+	at := Position{Revision: 3}
+	for name, wake := range map[string]bool{"strict": true, "not strict": false} {
+		l := NewLog()
+		l.SetWakeOnConfirmation(wake)
+		l.Replace(0, Batch{Position: at, Confirmed: ConfirmedAt(1)})
+		ctx, cancel := context.WithCancel(context.Background())
+		got := make(chan Confirmation)
+		go func() {
+			b, _ := l.ChangesAfter(ctx, clock, at, time.Minute)
+			got <- b.Confirmed
+		}()
+		// The confirmations come while the other goroutine waits, or before.
+		for n := snipetime.Instant(2); ; n++ {
+			l.Append(0, Batch{Position: at, Confirmed: ConfirmedAt(n)})
+			if !wake {
+				cancel()
+			}
+			select {
+			case c := <-got:
+				if _, known := c.At(); known != wake {
+					t.Errorf("%s: confirmation %+v", name, c)
+				}
+			case <-time.After(time.Millisecond):
+				continue
+			}
+			break
+		}
+		cancel()
+	}
+}
--- a/snipefeed/log.go
+++ b/snipefeed/log.go
@@ -37,9 +37,12 @@
 	// confirmation is the latest confirmation of the items by the store. Unlike
 	// confirmed, it counts from the begin of a call.
 	confirmation Confirmation
+	// wakeOnConfirmation means that a later confirmation wakes readers too.
+	wakeOnConfirmation bool
 	// losses counts the calls of RecordLoss.
 	losses uint64
-	// changed is closed, and replaced, when position changes.
+	// changed is closed, and replaced, when position changes, and at a later confirmation
+	// if wakeOnConfirmation is set.
 	changed chan struct{}
 }
 
@@ -103,13 +106,26 @@
 	order := b.Position.Compare(l.position)
 	if order >= 0 {
 		// A source that is behind this log confirms other items than those of the log.
-		l.confirmation = laterOf(l.confirmation, b.Confirmed)
+		l.confirm(b.Confirmed)
 	}
 	if order > 0 {
 		l.moveTo(b.Position)
 	}
 }
 
+// confirm records a confirmation of the items unless a later one is known. The caller
+// holds the lock.
+func (l *Log) confirm(c Confirmation) {
+	later := laterOf(l.confirmation, c)
+	if later == l.confirmation {
+		return
+	}
+	l.confirmation = later
+	if l.wakeOnConfirmation {
+		l.wake()
+	}
+}
+
 // trimHistory drops the oldest changes that exceed the bounds of the history. The
 // caller holds the lock.
 func (l *Log) trimHistory() {
@@ -129,10 +145,23 @@
 		return
 	}
 	l.position = p
+	l.wake()
+}
+
+// wake wakes the readers that wait for changes. The caller holds the lock.
+func (l *Log) wake() {
 	close(l.changed)
 	l.changed = make(chan struct{})
 }
 
+// SetWakeOnConfirmation determines whether ChangesAfter also returns when the store has
+// confirmed the items again, and not only when there are changes.
+func (l *Log) SetWakeOnConfirmation(wake bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.wakeOnConfirmation = wake
+}
+
 // Snapshot returns all items, ordered by revision. It fails before the first
 // listing.
 func (l *Log) Snapshot(now snipetime.Instant) (Batch, error) {
@@ -147,7 +176,8 @@
 }
 
 // ChangesAfter returns the changes after a position, and waits at most the
-// given time for one. Without a change in that time the batch is empty. The
+// given time for one. Without a change in that time the batch is empty. With
+// SetWakeOnConfirmation, a later confirmation by the store ends the wait too. The
 // error wraps ErrHistoryLost if the changes are no longer kept, and ErrEpochEnded
 // if the log is in a later epoch. If it is in an earlier one, ChangesAfter returns
 // an empty batch of that epoch at once. It also fails before the first listing and
@@ -155,9 +185,10 @@
 func (l *Log) ChangesAfter(ctx context.Context, clock Clock, after Position, wait time.Duration) (Batch, error) {
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
+	confirmed := l.Confirmation()
 	for {
 		b, changed, err := l.changesAfter(clock.Now(), after)
-		if err != nil || b.Position.Epoch != after.Epoch || b.Position.Revision > after.Revision {
+		if err != nil || b.Confirmed != confirmed || b.Position.Epoch != after.Epoch || b.Position.Revision > after.Revision {
 			return b, err
 		}
 		select {
--- a/snipesync/poll.go
+++ b/snipesync/poll.go
@@ -147,6 +147,7 @@
 func (f *Follower) updateLog(now snipetime.Instant, batch snipefeed.Batch, full bool) {
 	f.storeBackoff.Reset()
 	f.listed, f.watched = true, !full
+	f.Items.SetWakeOnConfirmation(f.Revocation.Strict())
 	if full {
 		f.Items.Replace(now, batch)
 		return
--- a/snipesync/timing.go
+++ b/snipesync/timing.go
@@ -57,7 +57,7 @@
 	// strictPeriod is the time between two calls of a watcher to the store where
 	// revocation is strict. Each call costs money, and the age of what a front knows
 	// grows with it.
-	strictPeriod = time.Second
+	strictPeriod = 900 * time.Millisecond
 	// strictWait bounds how long the store waits for a change in such a call. What a
 	// watch confirms counts from its begin, so that the wait adds to the age twice.
 	strictWait = 50 * time.Millisecond
@@ -66,8 +66,8 @@
 // strict returns the times for strict revocation: short waits of the store, and no
 // longer period than without it. They apply to all watches of the store, because a
 // front that is not asked by others has to know of revocations too. What a front knows
-// from a watcher is at most strictPeriod, strictWait and peerWait old, plus the duration
-// of the calls.
+// from a watcher is at most strictPeriod and strictWait old, plus the duration of the
+// calls; peerWait is added if a confirmation comes between two calls to the watcher.
 func (t Timing) strict() Timing {
 	period := min(strictPeriod, t.servingPause+t.servingWait)
 	t.watchWait = min(strictWait, t.servingWait)
