snipesync: a restored store confirms nothing before it was written again

A restored store can list the configuration in force and have forgotten a newer one that it acknowledged. Tests of the log lines and of the bound from the settings.

--- /dev/null
+++ b/snipefront/revocation_test.go
@@ -0,0 +1,46 @@
+package snipefront
+
+import (
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/snipemoor/snipemoor/platform"
+	"github.com/snipemoor/snipemoor/snipesync"
+)
+
+// TestRevocationMonitor guards against a front that refuses requests with keys without a
+// line in its log, against a line for each look, and against one before the first
+// configuration, when requests are refused for another reason.
+func TestRevocationMonitor(t *testing.T) {
+	core, lines := observer.New(zap.InfoLevel)
+	loaded := false
+	m := &revocationMonitor{revocation: snipesync.NewRevocation(time.Second), loaded: func() bool { return loaded }, log: zap.New(core)}
+	m.observe(0)
+	if lines.Len() != 0 {
+		t.Error("a line before the first configuration")
+	}
+	loaded = true
+	m.observe(1)
+	m.observe(2)
+	if all := lines.TakeAll(); len(all) != 1 || all[0].Level != zap.WarnLevel || all[0].ContextMap()["everConfirmed"] != false {
+		t.Errorf("lines %v, want one about the refusal", all)
+	}
+	m.revocation.SetBound(0)
+	m.observe(3)
+	if all := lines.TakeAll(); len(all) != 1 || all[0].Level != zap.InfoLevel || m.changes.Load() != 2 {
+		t.Errorf("lines %v and %d changes, want one line about the end and two changes", all, m.changes.Load())
+	}
+}
+
+// TestRevocationBound guards against a bound that applies although the settings do not
+// ask for strict revocation, and against one that is ignored.
+func TestRevocationBound(t *testing.T) {
+	for strict, want := range map[bool]time.Duration{true: time.Second, false: 0} {
+		if got := revocationBound(platform.Bounds{StrictRevocation: strict, Revoke: time.Second}); got != want {
+			t.Errorf("strict %v: %v, want %v", strict, got, want)
+		}
+	}
+}
--- a/snipesync/poll.go
+++ b/snipesync/poll.go
@@ -120,9 +120,11 @@
 
 // publishConfirmation passes the confirmation of the items on as that of the table in
 // force, if the newest configuration is in force. It is called after changes have been
-// applied, so that the table in force is never older than its confirmation.
+// applied, so that the table in force is never older than its confirmation. A restored
+// store may have forgotten a configuration that it acknowledged, so that it confirms
+// nothing before operators had time to write theirs again.
 func (f *Follower) publishConfirmation() {
-	if f.tableCurrent {
+	if f.tableCurrent && !f.settling {
 		f.Revocation.confirm(f.Items.Confirmation(), f.source)
 	}
 }
--- a/snipesync/revocation_test.go
+++ b/snipesync/revocation_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/snipemoor/snipemoor/snipefeed"
+	"github.com/snipemoor/snipemoor/snipefleet"
 	"github.com/snipemoor/snipemoor/snipetime"
 )
 
@@ -146,6 +147,11 @@
 			}
 			h.pollOnce(t)
 			h.pollOnce(t)
+			if h.follower.Revocation.Recent(clock.Now()) {
+				t.Error("confirmed before operators had time to write again what the store lost")
+			}
+			clock.Advance(snipefleet.LapseGrace)
+			h.pollOnce(t)
 			if got := h.follower.Revocation.Recent(clock.Now()); got != tc.want {
 				t.Errorf("recent: %v, want %v", got, tc.want)
 			}
