--- a/snipefeed/confirmation_test.go
+++ b/snipefeed/confirmation_test.go
@@ -137,3 +137,33 @@
 		cancel()
 	}
 }
+
+// TestCycleOfFronts guards against fronts that lost the store and follow each other in a
+// cycle, so that the age of what they know stops growing.
+func TestCycleOfFronts(t *testing.T) {
+	const fronts, rounds = 3, 200
+	clock := snipetime.NewManual(0)
+	logs := make([]*Log, fronts)
+	for i := range logs {
+		logs[i] = NewLog()
+		logs[i].Replace(0, Batch{Position: Position{Revision: 1}, Confirmed: ConfirmedAt(snipetime.Instant(i))})
+	}
+	const latest = fronts - 1
+	for n := range rounds {
+		asking, asked := logs[n%fronts], logs[(n+1)%fronts]
+		sent := clock.Now()
+		clock.Advance(time.Millisecond)
+		received := clock.Now()
+		clock.Advance(7 * time.Millisecond)
+		b, _, err := asked.changesAfter(clock.Now(), Position{Revision: 1})
+		if err != nil {
+			t.Fatal(err)
+		}
+		millis, _ := b.Confirmed.SinceReceipt(received)
+		clock.Advance(time.Millisecond)
+		asking.Append(clock.Now(), Batch{Position: b.Position, Confirmed: ConfirmedByPeer(sent, clock.Now(), millis)})
+		if at, known := asking.Confirmation().At(); !known || at > latest {
+			t.Fatalf("after %d calls confirmed at %v, want at most %v, when the store was last read", n+1, at, latest)
+		}
+	}
+}
