--- a/snipefront/revocation_test.go
+++ b/snipefront/revocation_test.go
@@ -44,3 +44,23 @@
 		}
 	}
 }
+
+// TestReloadOfRevocation guards against a front that keeps the bound with which it
+// started when its settings change.
+func TestReloadOfRevocation(t *testing.T) {
+	next := &platform.Settings{Bounds: platform.Bounds{StrictRevocation: true, Revoke: time.Second}}
+	f := &Front{
+		loadSettings: func() (*platform.Settings, error) { return next, nil },
+		log:          zap.NewNop(), revocation: snipesync.NewRevocation(0),
+	}
+	f.settings.Store(&platform.Settings{})
+	f.reload("test")
+	if !f.revocation.Strict() || f.revocation.Recent(0) {
+		t.Error("revocation is not strict after the settings ask for it")
+	}
+	next = &platform.Settings{Bounds: platform.Bounds{Revoke: time.Second}}
+	f.reload("test")
+	if f.revocation.Strict() || !f.revocation.Recent(0) {
+		t.Error("revocation is strict although the settings no longer ask for it")
+	}
+}
