--- a/snipefeed/log.go
+++ b/snipefeed/log.go
@@ -34,9 +34,15 @@
 	position  Position
 	// confirmed is when the store last confirmed that there was nothing newer.
 	confirmed snipetime.Instant
+	// confirmation is the latest confirmation of the items by the store. Unlike
+	// confirmed, it counts from the begin of a call.
+	confirmation Confirmation
+	// wakeOnConfirmation means that a later confirmation wakes readers too.
+	wakeOnConfirmation bool
 	// losses counts the calls of RecordLoss.
 	losses uint64
-	// changed is closed, and replaced, when position changes.
+	// changed is closed, and replaced, when position changes, and at a later confirmation
+	// if wakeOnConfirmation is set.
 	changed chan struct{}
 }
 
@@ -51,6 +57,13 @@
 	return l.position
 }
 
+// Confirmation returns the latest confirmation of the items by the store.
+func (l *Log) Confirmation() Confirmation {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.confirmation
+}
+
 // RecordLoss records that this front lost contact with the store. Batches
 // report the number of these losses.
 func (l *Log) RecordLoss() {
@@ -69,7 +82,7 @@
 		l.items[b.Items[i].Key] = b.Items[i]
 	}
 	l.changes, l.changeBytes, l.compacted = nil, 0, b.Position.Revision
-	l.confirmed = now.Add(-b.Age)
+	l.confirmed, l.confirmation = now.Add(-b.Age), b.Confirmed
 	l.moveTo(b.Position)
 }
 
@@ -90,11 +103,29 @@
 	}
 	l.trimHistory()
 	l.confirmed = max(l.confirmed, now.Add(-b.Age))
-	if b.Position.Compare(l.position) > 0 {
+	order := b.Position.Compare(l.position)
+	if order >= 0 {
+		// A source that is behind this log confirms other items than those of the log.
+		l.confirm(b.Confirmed)
+	}
+	if order > 0 {
 		l.moveTo(b.Position)
 	}
 }
 
+// confirm records a confirmation of the items unless a later one is known. The caller
+// holds the lock.
+func (l *Log) confirm(c Confirmation) {
+	later := laterOf(l.confirmation, c)
+	if later == l.confirmation {
+		return
+	}
+	l.confirmation = later
+	if l.wakeOnConfirmation {
+		l.wake()
+	}
+}
+
 // trimHistory drops the oldest changes that exceed the bounds of the history. The
 // caller holds the lock.
 func (l *Log) trimHistory() {
@@ -114,10 +145,23 @@
 		return
 	}
 	l.position = p
+	l.wake()
+}
+
+// wake wakes the readers that wait for changes. The caller holds the lock.
+func (l *Log) wake() {
 	close(l.changed)
 	l.changed = make(chan struct{})
 }
 
+// SetWakeOnConfirmation determines whether ChangesAfter also returns when the store has
+// confirmed the items again, and not only when there are changes.
+func (l *Log) SetWakeOnConfirmation(wake bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.wakeOnConfirmation = wake
+}
+
 // Snapshot returns all items, ordered by revision. It fails before the first
 // listing.
 func (l *Log) Snapshot(now snipetime.Instant) (Batch, error) {
@@ -132,7 +176,8 @@
 }
 
 // ChangesAfter returns the changes after a position, and waits at most the
-// given time for one. Without a change in that time the batch is empty. The
+// given time for one. Without a change in that time the batch is empty. With
+// SetWakeOnConfirmation, a later confirmation by the store ends the wait too. The
 // error wraps ErrHistoryLost if the changes are no longer kept, and ErrEpochEnded
 // if the log is in a later epoch. If it is in an earlier one, ChangesAfter returns
 // an empty batch of that epoch at once. It also fails before the first listing and
@@ -140,9 +185,10 @@
 func (l *Log) ChangesAfter(ctx context.Context, clock Clock, after Position, wait time.Duration) (Batch, error) {
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
+	confirmed := l.Confirmation()
 	for {
 		b, changed, err := l.changesAfter(clock.Now(), after)
-		if err != nil || b.Position.Epoch != after.Epoch || b.Position.Revision > after.Revision {
+		if err != nil || b.Confirmed != confirmed || b.Position.Epoch != after.Epoch || b.Position.Revision > after.Revision {
 			return b, err
 		}
 		select {
@@ -178,5 +224,7 @@
 // newBatch returns a batch of items at the current position. The caller holds the
 // lock.
 func (l *Log) newBatch(now snipetime.Instant, items []Item) Batch {
-	return Batch{Items: items, Position: l.position, Age: max(now.Sub(l.confirmed), 0), StoreLosses: l.losses}
+	return Batch{
+		Items: items, Position: l.position, Age: max(now.Sub(l.confirmed), 0), Confirmed: l.confirmation, StoreLosses: l.losses,
+	}
 }
--- a/snipesync/poll.go
+++ b/snipesync/poll.go
@@ -64,6 +64,9 @@
 // next.
 func (f *Follower) usable(choice snipefeed.Selection, before snipefeed.Position, batch snipefeed.Batch) bool {
 	now, at := f.Clock.Now(), batch.Position
+	if choice.Peer != "" {
+		f.Selector.PeerAnswered(now, choice.Peer, at, batch.Age, batch.Age <= f.Timing.usualAge())
+	}
 	fields := []zap.Field{
 		zap.String("peer", choice.Peer), zap.Duration("age", batch.Age),
 		zap.Uint64("epoch", uint64(at.Epoch)), zap.Uint64("revision", uint64(at.Revision)),
@@ -111,9 +114,21 @@
 	f.applyBatch(before.Revision, changes, full, fresh)
 	f.removeLapsed()
 	f.settle()
+	f.publishConfirmation()
 	f.markLoaded()
 }
 
+// publishConfirmation passes the confirmation of the items on as that of the table in
+// force, if the newest configuration is in force. It is called after changes have been
+// applied, so that the table in force is never older than its confirmation. A restored
+// store may have forgotten a configuration that it acknowledged, so that it confirms
+// nothing before operators had time to write theirs again.
+func (f *Follower) publishConfirmation() {
+	if f.tableCurrent && !f.settling {
+		f.Revocation.confirm(f.Items.Confirmation(), f.source)
+	}
+}
+
 // storeUsable reports whether the store can be asked for changes that the chosen
 // front no longer keeps.
 func (f *Follower) storeUsable(choice snipefeed.Selection) bool {
@@ -134,6 +149,7 @@
 func (f *Follower) updateLog(now snipetime.Instant, batch snipefeed.Batch, full bool) {
 	f.storeBackoff.Reset()
 	f.listed, f.watched = true, !full
+	f.Items.SetWakeOnConfirmation(f.Revocation.Strict())
 	if full {
 		f.Items.Replace(now, batch)
 		return
--- a/snipesync/timing.go
+++ b/snipesync/timing.go
@@ -53,6 +53,35 @@
 	}
 }
 
+const (
+	// strictPeriod is the time between two calls of a watcher to the store where
+	// revocation is strict. Each call costs money, and the age of what a front knows
+	// grows with it.
+	strictPeriod = 900 * time.Millisecond
+	// strictWait bounds how long the store waits for a change in such a call. What a
+	// watch confirms counts from its begin, so that the wait adds to the age twice.
+	strictWait = 50 * time.Millisecond
+)
+
+// strict returns the times for strict revocation: short waits of the store, and no
+// longer period than without it. They apply to all watches of the store, because a
+// front that is not asked by others has to know of revocations too. What a front knows
+// from a watcher is at most strictPeriod and strictWait old, plus the duration of the
+// calls; peerWait is added if a confirmation comes between two calls to the watcher.
+func (t Timing) strict() Timing {
+	period := min(strictPeriod, t.servingPause+t.servingWait)
+	t.watchWait = min(strictWait, t.servingWait)
+	t.servingWait = t.watchWait
+	t.watchPause = period - t.watchWait
+	t.servingPause = t.watchPause
+	return t
+}
+
+// usualAge returns the greatest age of the data of a watcher that has the store, apart
+// from the duration of calls. Older data is used up to maxPeerAge, but another front that
+// may have newer data is asked first.
+func (t Timing) usualAge() time.Duration { return t.servingPause + t.servingWait }
+
 // shortestBound returns the shortest positive bound, or the default if there is
 // none.
 func shortestBound(bounds []time.Duration) time.Duration {
