snipeplacement: the slowness that targets state is read, passed on and used

A fourth figure made the whole load header unreadable. A figure that is not a positive number leaves the load readable; the first one of a target is logged.

Requests of routes that are not sticky leave a slow target for one that is expected to end them sooner. The retry time at a full target counts its slowness.

--- a/snipefeed/peer.go
+++ b/snipefeed/peer.go
@@ -29,6 +29,9 @@
 	Target string
 	// Requests is the number of requests in progress or queued at the target.
 	Requests int
+	// Slowness is how long work takes at the target, as a factor of the usual time, or 0
+	// if the target does not state it.
+	Slowness float64
 	// Age is the time since the target reported the load.
 	Age time.Duration
 }
@@ -68,15 +71,29 @@
 func encodeLoads(loads []Load) []*snipewire.TargetLoad {
 	out := make([]*snipewire.TargetLoad, len(loads))
 	for i, l := range loads {
-		out[i] = &snipewire.TargetLoad{Target: l.Target, Requests: uint32(l.Requests), AgeMillis: uint32(l.Age.Milliseconds())}
+		out[i] = &snipewire.TargetLoad{
+			Target: l.Target, Requests: uint32(l.Requests), AgeMillis: uint32(l.Age.Milliseconds()),
+			SlownessPercent: slownessPercent(l.Slowness),
+		}
 	}
 	return out
 }
 
+// slownessPercent returns a slowness in percent, and at least 1 for one that is stated.
+func slownessPercent(slowness float64) uint32 {
+	if slowness <= 0 {
+		return 0
+	}
+	return max(uint32(math.Round(slowness*100)), 1)
+}
+
 func decodeLoads(loads []*snipewire.TargetLoad) []Load {
 	out := make([]Load, len(loads))
 	for i, l := range loads {
-		out[i] = Load{Target: l.GetTarget(), Requests: int(l.GetRequests()), Age: time.Duration(l.GetAgeMillis()) * time.Millisecond}
+		out[i] = Load{
+			Target: l.GetTarget(), Requests: int(l.GetRequests()), Age: time.Duration(l.GetAgeMillis()) * time.Millisecond,
+			Slowness: float64(l.GetSlownessPercent()) / 100,
+		}
 	}
 	return out
 }
--- a/snipefeed/peer_test.go
+++ b/snipefeed/peer_test.go
@@ -224,7 +224,7 @@
 	server, address := newNode(t, "server")
 	items := NewLog()
 	items.Replace(0, Batch{Position: Position{Revision: 1}})
-	serverLoads := &fakeLoads{loads: []Load{{Target: "a", Requests: 3, Age: 20 * time.Millisecond}}}
+	serverLoads := &fakeLoads{loads: []Load{{Target: "a", Requests: 3, Slowness: 2.5, Age: 20 * time.Millisecond}}}
 	Serve(server, items, serverLoads, &fakeLimits{}, snipetime.NewManual(0))
 	server.Start()
 	client, _ := newNode(t, "client")
@@ -237,7 +237,7 @@
 	if !slices.Contains(serverLoads.loads, Load{Target: "b", Requests: 5}) {
 		t.Errorf("the serving front has loads %v", serverLoads.loads)
 	}
-	if !slices.Contains(clientLoads.loads, Load{Target: "a", Requests: 3, Age: 20 * time.Millisecond}) {
+	if !slices.Contains(clientLoads.loads, Load{Target: "a", Requests: 3, Slowness: 2.5, Age: 20 * time.Millisecond}) {
 		t.Errorf("the calling front has loads %v", clientLoads.loads)
 	}
 }
--- a/snipegate/gate.go
+++ b/snipegate/gate.go
@@ -54,6 +54,9 @@
 	// statement that cannot be read.
 	RecordRest(now snipetime.Instant, t *snipefleet.Target, d time.Duration) (began bool)
 	RecordUnreadableRest(t *snipefleet.Target) (first bool)
+	// RecordUnreadableSlowness reports whether it is the first statement of t about its
+	// slowness that cannot be read.
+	RecordUnreadableSlowness(t *snipefleet.Target) (first bool)
 	// RestRemaining returns when a caller may retry because all targets rest, or zero.
 	RestRemaining(now snipetime.Instant, v *snipefleet.View, q *snipeplacement.Query) time.Duration
 }
--- a/snipegate/headers.go
+++ b/snipegate/headers.go
@@ -45,8 +45,10 @@
 	Responder string
 	// Signed means that the response carries the target's signature.
 	Signed bool
-	// Load is the load that the target reports, or nil.
-	Load *snipeplacement.Load
+	// Load is the load that the target reports, or nil. SlownessErr is set if the target
+	// states a slowness that cannot be read; Load is then without it.
+	Load        *snipeplacement.Load
+	SlownessErr error
 	// Limit is the rate limit that the target states, in requests per second over all
 	// fronts, or nil if it states none. LimitErr is set if the statement cannot be read.
 	Limit    *float64
--- a/snipegate/statements.go
+++ b/snipegate/statements.go
@@ -23,6 +23,16 @@
 	q.recordLimit(t, h)
 	q.recordLeaving(t, h)
 	q.recordRest(t, h)
+	q.recordUnreadableSlowness(t, h)
+}
+
+// recordUnreadableSlowness logs the first statement of a target about its slowness that
+// cannot be read.
+func (q *request) recordUnreadableSlowness(t *snipefleet.Target, h ResponseHeaders) {
+	if h.SlownessErr == nil || !q.gate.Chooser.RecordUnreadableSlowness(t) {
+		return
+	}
+	q.gate.Log.Warn("target slowness not readable", zap.String("target", t.ID), zap.String("request", q.call.ID), zap.Error(h.SlownessErr))
 }
 
 // recordLeaving records that a target leaves, and logs it once.
--- a/snipeplacement/admission.go
+++ b/snipeplacement/admission.go
@@ -28,7 +28,7 @@
 // and its load. Targets that leave are not in the view.
 func (s *selection) evaluate(t *snipefleet.Target) Candidate {
 	state := s.chooser.state(t)
-	candidate := Candidate{Target: t, Load: state.estimatedLoad(s.now), LoadAge: s.now.Sub(state.reportedAt)}
+	candidate := Candidate{Target: t, Load: state.estimatedLoad(s.now), LoadAge: s.now.Sub(state.reportedAt), Slowness: state.slowness(s.now)}
 	if left, resting := s.resting(t, state); resting {
 		candidate.SkipReason = ReasonResting
 		s.refusal.merge(ReasonResting, left)
@@ -44,7 +44,7 @@
 		return candidate
 	}
 	if s.chooser.cold(s.now, s.view, t, s.query.Info) {
-		if !s.chooser.acquireColdToken(s.now, s.view, t, state, s.query.Info) {
+		if s.postponed.Target != nil || !s.chooser.acquireColdToken(s.now, s.view, t, state, s.query.Info) {
 			candidate.SkipReason = ReasonCold
 			s.refusal.merge(ReasonCold, coldRetryDelay)
 		}
@@ -53,6 +53,8 @@
 	s.considered++
 	room := s.maxLoad(t) - candidate.Load
 	switch {
+	case room >= 1 && s.postpones(&candidate):
+		candidate.SkipReason = ReasonFull
 	case room >= 1:
 	case s.diverted():
 		candidate.SkipReason = ReasonFull
--- a/snipeplacement/chooser.go
+++ b/snipeplacement/chooser.go
@@ -56,6 +56,9 @@
 	// LoadAge is the time since the target last reported its load.
 	Load    float64
 	LoadAge time.Duration
+	// Slowness is how long work is estimated to take at the target, as a factor of the
+	// usual time.
+	Slowness float64
 	// Limit is the rate limit that the target states, and the share of this front.
 	Limit snipequota.Admission
 	// SkipReason is why the target was not chosen, or empty if it was.
@@ -92,6 +95,9 @@
 // of waiting requests, and of its slots.
 type Load struct {
 	Running, Waiting, Slots int
+	// Slowness is how long work takes at the target at that moment, as a factor of the
+	// usual time, or 0 if it is unknown.
+	Slowness float64
 }
 
 // Result is the result of an attempt at a target.
@@ -209,7 +215,7 @@
 	var out []snipefeed.Load
 	for id, s := range c.states {
 		if s.reportedAt != 0 && now.Sub(s.reportedAt) <= age {
-			out = append(out, snipefeed.Load{Target: id, Requests: s.reportedLoad, Age: now.Sub(s.reportedAt)})
+			out = append(out, snipefeed.Load{Target: id, Requests: s.reportedLoad, Slowness: s.reportedSlowness, Age: now.Sub(s.reportedAt)})
 		}
 	}
 	return out
@@ -223,7 +229,7 @@
 	defer c.mu.Unlock()
 	for _, l := range loads {
 		if s := c.states[l.Target]; s != nil {
-			s.recordLoad(now.Add(-l.Age), l.Requests)
+			s.recordLoad(now.Add(-l.Age), l.Requests, l.Slowness)
 		}
 	}
 }
--- a/snipeplacement/rest_test.go
+++ b/snipeplacement/rest_test.go
@@ -41,7 +41,7 @@
 		}
 		c := s.fronts[r.front]
 		c.RecordRest(s.now, r.target, rest.till.Sub(s.now))
-		c.RecordResult(s.now, r.target, Result{Load: &Load{0, 0, slots}})
+		c.RecordResult(s.now, r.target, Result{Load: &Load{Slots: slots}})
 		if s.counted(r) {
 			s.refused++
 		}
--- a/snipeplacement/selection.go
+++ b/snipeplacement/selection.go
@@ -34,6 +34,8 @@
 	// numLimited the number of such targets.
 	limited    *snipefleet.Target
 	numLimited int
+	// postponed is the target that is used if no other is expected to end the request sooner.
+	postponed Candidate
 }
 
 // buildRefusal returns the refusal. If targets are full or limited, it reserves a retry
@@ -70,6 +72,9 @@
 			s.numSkipped++
 		}
 	}
+	if s.postponed.Target != nil {
+		return s.postponed, true
+	}
 	return Candidate{}, false
 }
 
--- a/snipeplacement/sim_test.go
+++ b/snipeplacement/sim_test.go
@@ -39,6 +39,8 @@
 	pending          []*simRequest
 	lru              *list.List
 	cache            map[string]*list.Element
+	// slowness is the factor of the service times, which responses state; 0 is none.
+	slowness float64
 }
 
 func newSimTarget() *simTarget {
@@ -65,10 +67,23 @@
 	front   int
 	target  *snipefleet.Target
 	object  string
+	kind    *simKind
 	// retried is set if the caller was refused before and has retried.
 	retried bool
 }
 
+// simKind is a kind of request, with what became of its requests.
+type simKind struct {
+	route  *snipetable.Route
+	tenant *snipetable.Tenant
+	// work is the service time as a factor of warmTime and coldTime.
+	work      float64
+	objective time.Duration
+	// share is the share of the requests that are of the kind.
+	share                                   float64
+	offered, inTime, late, returned, failed int
+}
+
 // event is a function that the simulation calls at a time.
 type event struct {
 	at snipetime.Instant
@@ -107,9 +122,15 @@
 	cut     func(i, j int) bool
 	targets map[string]*simTarget
 	route   *snipetable.Route
+	// kinds are the kinds of the generated requests; none means requests of route.
+	kinds []*simKind
 	// countFrom is the arrival time from which requests are counted.
 	countFrom                      snipetime.Instant
 	offered, inTime, late, refused int
+	// latencySum is the sum of the latencies of served requests.
+	latencySum time.Duration
+	// hidesSlowness is set if targets do not state their slowness.
+	hidesSlowness bool
 	// shed counts the requests that targets refused. They also count as refused.
 	shed int
 	// retryOnce makes each refused caller retry once, after the delay in the refusal.
@@ -184,11 +205,30 @@
 // counted reports whether a request arrived after the start of counting.
 func (s *sim) counted(r *simRequest) bool { return r.arrived >= s.countFrom }
 
+// pickKind returns a kind at random.
+func (s *sim) pickKind() *simKind {
+	if len(s.kinds) == 0 {
+		s.kinds = []*simKind{{route: s.route, work: 1, objective: latencyObjective, share: 1}}
+	}
+	last := len(s.kinds) - 1
+	if last == 0 {
+		return s.kinds[0]
+	}
+	draw := s.rng.Float64()
+	for _, k := range s.kinds[:last] {
+		if draw -= k.share; draw < 0 {
+			return k
+		}
+	}
+	return s.kinds[last]
+}
+
 // request simulates the arrival of a request at the front with the given index.
 func (s *sim) request(front int, object string) {
-	r := &simRequest{arrived: s.now, front: front, object: object}
+	r := &simRequest{arrived: s.now, front: front, object: object, kind: s.pickKind()}
 	if s.counted(r) {
 		s.offered++
+		r.kind.offered++
 	}
 	s.send(r)
 }
@@ -197,16 +237,22 @@
 // or is shed.
 func (s *sim) send(r *simRequest) {
 	c := s.fronts[r.front]
-	candidate, refusal := c.Choose(s.now, s.registry.View(), s.query(r.object))
+	q := s.query(r.object)
+	q.Route, q.Tenant = r.kind.route, r.kind.tenant
+	candidate, refusal := c.Choose(s.now, s.registry.View(), q)
 	target := candidate.Target
 	switch {
 	case refusal != nil && s.retryOnce && !r.retried:
 		r.retried = true
+		if s.counted(r) {
+			r.kind.returned++
+		}
 		s.schedule(s.now.Add(refusal.RetryAfter), func() { s.send(r) })
 		return
 	case refusal != nil:
 		if s.counted(r) {
 			s.refused++
+			r.kind.failed++
 		}
 		return
 	}
@@ -223,7 +269,7 @@
 		st.pending = append(st.pending, r)
 	default:
 		s.recordStatement(r.front, target)
-		c.RecordResult(s.now, target, Result{Load: &Load{st.running, st.waiting, slots}})
+		c.RecordResult(s.now, target, Result{Load: s.load(st)})
 		if s.counted(r) {
 			s.shed++
 			s.refused++
@@ -235,6 +281,14 @@
 	return &Query{Service: "s", Info: &snipetable.Service{ColdDuration: 3 * time.Second, ColdRate: 13}, Route: s.route, Object: object}
 }
 
+// load returns the load that a target states.
+func (s *sim) load(st *simTarget) *Load {
+	if s.hidesSlowness {
+		return &Load{st.running, st.waiting, slots, 0}
+	}
+	return &Load{st.running, st.waiting, slots, st.slowness}
+}
+
 // begin starts a request in a slot of a target.
 func (s *sim) begin(st *simTarget, r *simRequest) {
 	st.running++
@@ -242,6 +296,10 @@
 	if st.accessCache(r.object) {
 		took = warmTime
 	}
+	took = time.Duration(float64(took) * r.kind.work)
+	if st.slowness > 0 {
+		took = time.Duration(float64(took) * st.slowness)
+	}
 	took += time.Duration(0.15 * s.rng.NormFloat64() * float64(took))
 	s.schedule(s.now.Add(took), func() { s.finish(st, r) })
 }
@@ -257,12 +315,17 @@
 	}
 	latency := s.now.Sub(r.arrived)
 	s.recordStatement(r.front, r.target)
-	s.fronts[r.front].RecordResult(s.now, r.target, Result{Latency: latency, Completed: true, Load: &Load{st.running, st.waiting, slots}})
+	s.fronts[r.front].RecordResult(s.now, r.target, Result{Latency: latency, Completed: true, Load: s.load(st)})
+	if s.counted(r) {
+		s.latencySum += latency
+	}
 	switch {
 	case !s.counted(r):
-	case latency <= latencyObjective:
+	case latency <= r.kind.objective:
 		s.inTime++
+		r.kind.inTime++
 	default:
 		s.late++
+		r.kind.late++
 	}
 }
--- a/snipeplacement/state.go
+++ b/snipeplacement/state.go
@@ -38,6 +38,11 @@
 	reportedAt snipetime.Instant
 	// reportedLoad is the number of requests that the target reported then.
 	reportedLoad int
+	// reportedSlowness is the slowness that the target reported then, or 0 if it is
+	// unknown.
+	reportedSlowness float64
+	// slownessUnreadable is set once a statement about it could not be read.
+	slownessUnreadable bool
 	// serviceTime is the moving average of the latency of complete responses.
 	serviceTime time.Duration
 	// failures is the number of consecutive failures, and failedAt is the time of the
@@ -69,7 +74,7 @@
 // slotFreeAt returns the expected time at which n more requests will have ended at t,
 // but not before nextRetryAt. It updates slotInterval.
 func (s *targetState) slotFreeAt(now snipetime.Instant, t *snipefleet.Target, n float64) snipetime.Instant {
-	s.slotInterval = s.interval(t)
+	s.slotInterval = time.Duration(float64(s.interval(t)) * s.slowness(now))
 	return max(now.Add(time.Duration(n*float64(s.slotInterval))), s.nextRetryAt)
 }
 
@@ -81,14 +86,15 @@
 	return free.Sub(now)
 }
 
-// recordLoad records the number of requests that the target reported at a time,
-// unless a later report is recorded.
-func (s *targetState) recordLoad(at snipetime.Instant, requests int) {
+// recordLoad records the number of requests and the slowness that the target reported at a
+// time, unless a later report is recorded.
+func (s *targetState) recordLoad(at snipetime.Instant, requests int, slowness float64) {
 	if at.Before(s.reportedAt) {
 		return
 	}
 	s.reportedLoad = requests
 	s.othersLoad = float64(max(requests-s.inFlight, 0))
+	s.reportedSlowness = slowness
 	s.reportedAt = at
 }
 
@@ -96,7 +102,7 @@
 func (s *targetState) recordResult(now snipetime.Instant, r Result) {
 	s.inFlight--
 	if r.Load != nil {
-		s.recordLoad(now, r.Load.Running+r.Load.Waiting)
+		s.recordLoad(now, r.Load.Running+r.Load.Waiting, r.Load.Slowness)
 	}
 	switch {
 	case r.Completed:
