snipeplacement: less urgent requests leave room for more urgent ones

All requests for a service had the same concurrency limits, so in an overload uploads took the room of urgent reads. The rank of a request is its tenant's priority, then its route's. While requests are refused at full limits, less urgent ones keep a part of the limits, down to half; a rank that is admitted less than half as often as all has full limits. With a single rank nothing changes.

--- a/snipeplacement/admission.go
+++ b/snipeplacement/admission.go
@@ -28,6 +28,7 @@
 // and its load. Targets that leave are not in the view.
 func (s *selection) evaluate(t *snipefleet.Target) Candidate {
 	state := s.chooser.state(t)
+	s.chosen = state
 	candidate := Candidate{Target: t, Load: state.estimatedLoad(s.now), LoadAge: s.now.Sub(state.reportedAt), Slowness: state.slowness(s.now)}
 	if left, resting := s.resting(t, state); resting {
 		candidate.SkipReason = ReasonResting
@@ -51,7 +52,8 @@
 		return candidate
 	}
 	s.considered++
-	room := s.maxLoad(t) - candidate.Load
+	limit := s.maxLoad(t)
+	room := max(limit*s.limitFactor, 1) - candidate.Load
 	switch {
 	case room >= 1 && s.postpones(&candidate):
 		candidate.SkipReason = ReasonFull
@@ -61,6 +63,7 @@
 	default:
 		candidate.SkipReason = ReasonFull
 		s.recordFull(t, state, 1-room)
+		s.lowered = s.lowered || limit-candidate.Load >= 1
 	}
 	return candidate
 }
--- a/snipeplacement/chooser.go
+++ b/snipeplacement/chooser.go
@@ -174,14 +174,21 @@
 	sel := selection{chooser: c, now: now, view: v, query: q, refusal: Refusal{Reason: ReasonNoTarget, RetryAfter: noTargetRetryDelay}}
 	largeBody := q.Route.Kind == snipetable.Upload
 	key := rankingKey{q.Service, q.Object, largeBody}
-	candidate, found := sel.firstAdmitting(c.rankings.best(v, key))
+	service := c.rankings.service(v, q.Service)
+	index := service.demand.offer(now, q.rank())
+	sel.limitFactor = service.demand.limitFactor(index)
+	candidate, found := sel.firstAdmitting(c.rankings.bestOf(service, v, key))
 	if total := len(v.Targets(q.Service)); !found && sel.considered < targetsPerObject && total > cachedTargets {
 		candidate, found = sel.firstAdmitting(c.rankings.all(v, key)[cachedTargets:])
 	}
 	if !found {
+		if sel.soonest != nil {
+			service.demand.refuse(sel.lowered)
+		}
 		return Candidate{}, sel.buildRefusal()
 	}
-	c.state(candidate.Target).inFlight++
+	service.demand.admit(index)
+	sel.chosen.inFlight++
 	c.limits.Take(now, candidate.Target)
 	return candidate, nil
 }
--- a/snipeplacement/doc.go
+++ b/snipeplacement/doc.go
@@ -15,5 +15,9 @@
 // cold, and its load. After a rest, the fronts return to a target one after the other, and
 // each one slowly.
 //
+// While requests for a service are refused for lack of room, less urgent ones get lower
+// concurrency limits (demand). The slowness that a target states moves only requests of
+// routes that are not sticky.
+//
 // The package performs no I/O and reads no clock; callers pass the time.
 package snipeplacement
--- a/snipeplacement/ranking.go
+++ b/snipeplacement/ranking.go
@@ -45,11 +45,17 @@
 	// smallBodyWeights and largeBodyWeights are the weights of the targets for
 	// requests of that kind. They are nil until they are needed.
 	smallBodyWeights, largeBodyWeights []float64
+	// demand outlives the rankings.
+	demand *demand
 }
 
 // best returns the best targets of an object in order, at most cachedTargets.
 func (r *rankingCache) best(v *snipefleet.View, key rankingKey) []*snipefleet.Target {
-	s := r.service(v, key.service)
+	return r.bestOf(r.service(v, key.service), v, key)
+}
+
+// bestOf returns the best targets of an object of the service s.
+func (r *rankingCache) bestOf(s *serviceRankings, v *snipefleet.View, key rankingKey) []*snipefleet.Target {
 	found := s.best[key]
 	if found == nil {
 		found = rankTargets(s.targets, s.weights(r.own, v, key), key.object, cachedTargets)
@@ -73,7 +79,11 @@
 	if s != nil && snipefleet.SameSlice(s.targets, targets) && snipefleet.SameSlice(s.members, members) && s.limitsVersion == version && len(s.best) < maxCachedRankings {
 		return s
 	}
-	s = &serviceRankings{targets: targets, members: members, limitsVersion: version, best: make(map[rankingKey][]*snipefleet.Target)}
+	recent := &demand{}
+	if s != nil {
+		recent = s.demand
+	}
+	s = &serviceRankings{targets: targets, members: members, limitsVersion: version, best: make(map[rankingKey][]*snipefleet.Target), demand: recent}
 	s.slots, s.shares = r.usableSlots(targets)
 	if r.services == nil {
 		r.services = make(map[string]*serviceRankings)
--- a/snipeplacement/selection.go
+++ b/snipeplacement/selection.go
@@ -23,6 +23,11 @@
 	// considered is the number of targets that were neither suspect nor cold, and whose
 	// rate limits admit the request.
 	considered int
+	// limitFactor is the part of the concurrency limits that the rank of the request keeps.
+	limitFactor float64
+	// lowered is set if a target is full for the rank of the request, and not for the most
+	// urgent one.
+	lowered    bool
 	refusal    Refusal
 	skipped    [maxReportedCandidates]Candidate
 	numSkipped int
@@ -34,8 +39,12 @@
 	// numLimited the number of such targets.
 	limited    *snipefleet.Target
 	numLimited int
-	// postponed is the target that is used if no other is expected to end the request sooner.
-	postponed Candidate
+	// chosen is the state of the target that was evaluated last, and so of the chosen one.
+	chosen *targetState
+	// postponed is the target that is used if no other is expected to end the request
+	// sooner, and postponedState its state.
+	postponed      Candidate
+	postponedState *targetState
 }
 
 // buildRefusal returns the refusal. If targets are full or limited, it reserves a retry
@@ -73,6 +82,7 @@
 		}
 	}
 	if s.postponed.Target != nil {
+		s.chosen = s.postponedState
 		return s.postponed, true
 	}
 	return Candidate{}, false
--- a/snipeplacement/sim_test.go
+++ b/snipeplacement/sim_test.go
@@ -64,6 +64,7 @@
 // simRequest is a request of the simulation.
 type simRequest struct {
 	arrived snipetime.Instant
+	sent    snipetime.Instant
 	front   int
 	target  *snipefleet.Target
 	object  string
@@ -80,8 +81,8 @@
 	work      float64
 	objective time.Duration
 	// share is the share of the requests that are of the kind.
-	share                                   float64
-	offered, inTime, late, returned, failed int
+	share                                              float64
+	offered, inTime, late, returned, failed, ownInTime int
 }
 
 // event is a function that the simulation calls at a time.
@@ -237,6 +238,7 @@
 // or is shed.
 func (s *sim) send(r *simRequest) {
 	c := s.fronts[r.front]
+	r.sent = s.now
 	q := s.query(r.object)
 	q.Route, q.Tenant = r.kind.route, r.kind.tenant
 	candidate, refusal := c.Choose(s.now, s.registry.View(), q)
@@ -318,6 +320,9 @@
 	s.fronts[r.front].RecordResult(s.now, r.target, Result{Latency: latency, Completed: true, Load: s.load(st)})
 	if s.counted(r) {
 		s.latencySum += latency
+		if s.now.Sub(r.sent) <= r.kind.objective {
+			r.kind.ownInTime++
+		}
 	}
 	switch {
 	case !s.counted(r):
--- a/snipeplacement/slowness.go
+++ b/snipeplacement/slowness.go
@@ -48,7 +48,7 @@
 	if s.considered > 1 || c.Slowness < minSlowness {
 		return false
 	}
-	s.postponed = *c
+	s.postponed, s.postponedState = *c, s.chosen
 	return true
 }
 
