snipeplacement: fronts share the retry times of a full target where ranks differ

Each front told its refused callers all slots of a target that become free, though the callers of all fronts compete for them, so most who returned at their time were refused again. Where a service has several ranks, a front now gives out its share of the slots, by its requests at the target, and the most urgent rank first. A service with a single rank keeps its retry times.

TestRetriesOverFronts and TestRetryTimesOfRanks fail without it.

--- a/snipeplacement/admission.go
+++ b/snipeplacement/admission.go
@@ -116,10 +116,16 @@
 }
 
 // recordFull records a full target, which is below its limit when n of its requests
-// have ended.
+// have ended. Where requests have ranks, callers of this front are told to return only as
+// often as its share of the requests at the target allows. A single rank keeps the earlier
+// retry times.
 func (s *selection) recordFull(t *snipefleet.Target, st *targetState, n float64) {
 	s.refusal.merge(ReasonFull, 0)
-	free := st.slotFreeAt(s.now, t, n)
+	share := 1.0
+	if s.ranked {
+		share = st.ownShare(s.now)
+	}
+	free := st.slotFreeAt(s.now, t, n, share, s.urgent)
 	if s.soonest == nil || free.Before(s.soonestFree) {
 		s.soonest, s.soonestFree = st, free
 	}
--- a/snipeplacement/chooser.go
+++ b/snipeplacement/chooser.go
@@ -176,7 +176,8 @@
 	key := rankingKey{q.Service, q.Object, largeBody}
 	service := c.rankings.service(v, q.Service)
 	index := service.demand.offer(now, q.rank())
-	sel.limitFactor = service.demand.limitFactor(index)
+	sel.limitFactor, sel.ranked = service.demand.limitFactor(index), service.demand.ranked()
+	sel.urgent = sel.ranked && index == 0
 	candidate, found := sel.firstAdmitting(c.rankings.bestOf(service, v, key))
 	if total := len(v.Targets(q.Service)); !found && sel.considered < targetsPerObject && total > cachedTargets {
 		candidate, found = sel.firstAdmitting(c.rankings.all(v, key)[cachedTargets:])
--- a/snipeplacement/rank.go
+++ b/snipeplacement/rank.go
@@ -111,6 +111,9 @@
 	return i
 }
 
+// ranked reports whether requests of several ranks were counted lately.
+func (d *demand) ranked() bool { return len(d.ranks) > 1 }
+
 // limitFactor returns the part of the concurrency limits of a target that the rank at an
 // index keeps: all for the most urgent one, and while no requests are refused for lack of
 // room. The more requests are refused, and the more of them are more urgent, the less.
--- a/snipeplacement/rank_test.go
+++ b/snipeplacement/rank_test.go
@@ -168,3 +168,42 @@
 		t.Error("the limits are not lower for a rank that is served as often as others")
 	}
 }
+
+// TestRetriesOverFronts guards against refused callers who are refused again because the
+// callers of other fronts were told the same time.
+func TestRetriesOverFronts(t *testing.T) {
+	for _, load := range []float64{0.8, 1.3} {
+		s := simulateRanks(t, load, rankMixes["three ranks"]())
+		returned, again := 0, 0
+		for _, k := range s.kinds {
+			returned += k.returned
+			again += k.failed
+		}
+		t.Logf("load %v: served %.3f, %d of %d who returned were refused again", load, float64(s.inTime+s.late)/float64(s.offered), again, returned)
+		if 2*again > returned {
+			t.Errorf("load %v: most who returned were refused again", load)
+		}
+	}
+}
+
+// TestRetryTimesOfRanks guards against callers of a service with a single rank who are told
+// other times than before, and against ranked ones who are told the same times as others.
+func TestRetryTimesOfRanks(t *testing.T) {
+	retryAfter := func(ranked bool) time.Duration {
+		c, v, q := restingChooser("a")
+		c.state(v.Targets("s")[0]).recordLoad(second, 2*slots, 0)
+		if ranked {
+			other := *q
+			other.Route = &snipetable.Route{Kind: snipetable.Idempotent, Priority: 1}
+			c.Choose(second, v, &other)
+		}
+		_, refusal := c.Choose(second, v, q)
+		return refusal.RetryAfter
+	}
+	if got, want := retryAfter(false), defaultServiceTime/slots; got != want {
+		t.Errorf("single rank: %v, want %v", got, want)
+	}
+	if got, want := retryAfter(true), 2*defaultServiceTime; got != want {
+		t.Errorf("two ranks, no own requests: %v, want %v", got, want)
+	}
+}
--- a/snipeplacement/selection.go
+++ b/snipeplacement/selection.go
@@ -25,6 +25,9 @@
 	considered int
 	// limitFactor is the part of the concurrency limits that the rank of the request keeps.
 	limitFactor float64
+	// ranked is set if requests of several ranks ask for the service, and urgent if this
+	// is one of the most urgent of them.
+	ranked, urgent bool
 	// lowered is set if a target is full for the rank of the request, and not for the most
 	// urgent one.
 	lowered    bool
@@ -54,7 +57,7 @@
 	out.Candidates = slices.Clone(s.skipped[:s.numSkipped])
 	switch {
 	case s.soonest != nil && out.Reason == ReasonFull:
-		out.RetryAfter = s.soonest.reserveRetry(s.now, s.soonestFree)
+		out.RetryAfter = s.soonest.reserveRetry(s.now, s.soonestFree, s.urgent)
 	case s.limited != nil && out.Reason == ReasonLimited:
 		out.RetryAfter = s.chooser.limits.RetryDelay(s.now, s.limited)
 	}
--- a/snipeplacement/state.go
+++ b/snipeplacement/state.go
@@ -52,10 +52,11 @@
 	// coldBucket limits the rate of requests to a cold target.
 	coldBucket tokenBucket
 	// slotInterval is the expected time between two requests that end, and
-	// nextRetryAt is the earliest retry time for the next refused caller.
-	slotInterval time.Duration
-	nextRetryAt  snipetime.Instant
-	rest         rest
+	// nextRetryAt is the earliest retry time for the next refused caller. That for one of
+	// the most urgent of several ranks is nextUrgentRetryAt.
+	slotInterval                   time.Duration
+	nextRetryAt, nextUrgentRetryAt snipetime.Instant
+	rest                           rest
 }
 
 // estimatedLoad returns the estimated number of requests at the target: those of
@@ -71,18 +72,36 @@
 	return time.Duration(float64(s.serviceTime) / float64(max(t.Slots, 1)))
 }
 
-// slotFreeAt returns the expected time at which n more requests will have ended at t,
-// but not before nextRetryAt. It updates slotInterval.
-func (s *targetState) slotFreeAt(now snipetime.Instant, t *snipefleet.Target, n float64) snipetime.Instant {
-	s.slotInterval = time.Duration(float64(s.interval(t)) * s.slowness(now))
-	return max(now.Add(time.Duration(n*float64(s.slotInterval))), s.nextRetryAt)
+// ownShare returns the share of this front in the requests at the target, of which one at
+// least is taken to be its own.
+func (s *targetState) ownShare(now snipetime.Instant) float64 {
+	own := float64(max(s.inFlight, 1))
+	return min(own/s.estimatedLoad(now), 1)
+}
+
+// slotFreeAt returns the expected time at which n more requests will have ended at t, if
+// a share of the slots that become free is for this front, but not before the times that
+// are reserved for callers who are as urgent. It updates slotInterval.
+func (s *targetState) slotFreeAt(now snipetime.Instant, t *snipefleet.Target, n, share float64, urgent bool) snipetime.Instant {
+	s.slotInterval = time.Duration(float64(s.interval(t)) * s.slowness(now) / share)
+	free := max(now.Add(time.Duration(n*float64(s.slotInterval))), s.nextUrgentRetryAt)
+	if urgent {
+		return free
+	}
+	return max(free, s.nextRetryAt)
 }
 
 // reserveRetry reserves the time free for the retry of a refused caller, and returns
 // the delay until then. Callers that are refused in succession thus retry in
-// succession, at the rate at which slots become free.
-func (s *targetState) reserveRetry(now, free snipetime.Instant) time.Duration {
-	s.nextRetryAt = min(free.Add(s.slotInterval), now.Add(maxFullRetryDelay))
+// succession, at the rate at which slots become free. The less urgent do not delay the
+// urgent.
+func (s *targetState) reserveRetry(now, free snipetime.Instant, urgent bool) time.Duration {
+	next := min(free.Add(s.slotInterval), now.Add(maxFullRetryDelay))
+	if urgent {
+		s.nextUrgentRetryAt = next
+	} else {
+		s.nextRetryAt = next
+	}
 	return free.Sub(now)
 }
 
