--- a/snipeplacement/admission.go
+++ b/snipeplacement/admission.go
@@ -51,21 +51,27 @@
 		}
 		return candidate
 	}
+	candidate.SkipReason = s.evaluateLoad(t, state, &candidate)
+	return candidate
+}
+
+// evaluateLoad decides by the load of a target whether the request can be sent there, and
+// returns the reason if not. Requests of lower ranks get a part of the concurrency limit.
+func (s *selection) evaluateLoad(t *snipefleet.Target, state *targetState, candidate *Candidate) Reason {
 	s.considered++
 	limit := s.maxLoad(t)
 	room := max(limit*s.limitFactor, 1) - candidate.Load
-	switch {
-	case room >= 1 && s.postpones(&candidate):
-		candidate.SkipReason = ReasonFull
-	case room >= 1:
-	case s.diverted():
-		candidate.SkipReason = ReasonFull
-	default:
-		candidate.SkipReason = ReasonFull
+	if room >= 1 {
+		if s.postpones(candidate) {
+			return ReasonFull
+		}
+		return ""
+	}
+	if !s.diverted() {
 		s.recordFull(t, state, 1-room)
 		s.lowered = s.lowered || limit-candidate.Load >= 1
 	}
-	return candidate
+	return ReasonFull
 }
 
 // resting reports whether a target wants no requests from this front, or no more than it
