--- a/snipeplacement/admission.go
+++ b/snipeplacement/admission.go
@@ -28,7 +28,8 @@
 // and its load. Targets that leave are not in the view.
 func (s *selection) evaluate(t *snipefleet.Target) Candidate {
 	state := s.chooser.state(t)
-	candidate := Candidate{Target: t, Load: state.estimatedLoad(s.now), LoadAge: s.now.Sub(state.reportedAt)}
+	s.chosen = state
+	candidate := Candidate{Target: t, Load: state.estimatedLoad(s.now), LoadAge: s.now.Sub(state.reportedAt), Slowness: state.slowness(s.now)}
 	if left, resting := s.resting(t, state); resting {
 		candidate.SkipReason = ReasonResting
 		s.refusal.merge(ReasonResting, left)
@@ -44,23 +45,33 @@
 		return candidate
 	}
 	if s.chooser.cold(s.now, s.view, t, s.query.Info) {
-		if !s.chooser.acquireColdToken(s.now, s.view, t, state, s.query.Info) {
+		if s.postponed.Target != nil || !s.chooser.acquireColdToken(s.now, s.view, t, state, s.query.Info) {
 			candidate.SkipReason = ReasonCold
 			s.refusal.merge(ReasonCold, coldRetryDelay)
 		}
 		return candidate
 	}
+	candidate.SkipReason = s.evaluateLoad(t, state, &candidate)
+	return candidate
+}
+
+// evaluateLoad decides by the load of a target whether the request can be sent there, and
+// returns the reason if not. Requests of lower ranks get a part of the concurrency limit.
+func (s *selection) evaluateLoad(t *snipefleet.Target, state *targetState, candidate *Candidate) Reason {
 	s.considered++
-	room := s.maxLoad(t) - candidate.Load
-	switch {
-	case room >= 1:
-	case s.diverted():
-		candidate.SkipReason = ReasonFull
-	default:
-		candidate.SkipReason = ReasonFull
+	limit := s.maxLoad(t)
+	room := max(limit*s.limitFactor, 1) - candidate.Load
+	if room >= 1 {
+		if s.postpones(candidate) {
+			return ReasonFull
+		}
+		return ""
+	}
+	if !s.diverted() {
 		s.recordFull(t, state, 1-room)
+		s.lowered = s.lowered || limit-candidate.Load >= 1
 	}
-	return candidate
+	return ReasonFull
 }
 
 // resting reports whether a target wants no requests from this front, or no more than it
@@ -111,10 +122,16 @@
 }
 
 // recordFull records a full target, which is below its limit when n of its requests
-// have ended.
+// have ended. Where requests have ranks, callers of this front are told to return only as
+// often as its share of the requests at the target allows. A single rank keeps the earlier
+// retry times.
 func (s *selection) recordFull(t *snipefleet.Target, st *targetState, n float64) {
 	s.refusal.merge(ReasonFull, 0)
-	free := st.slotFreeAt(s.now, t, n)
+	share := 1.0
+	if s.ranked {
+		share = st.ownShare(s.now)
+	}
+	free := st.slotFreeAt(s.now, t, n, share, s.urgent)
 	if s.soonest == nil || free.Before(s.soonestFree) {
 		s.soonest, s.soonestFree = st, free
 	}
--- a/snipeplacement/selection.go
+++ b/snipeplacement/selection.go
@@ -23,6 +23,14 @@
 	// considered is the number of targets that were neither suspect nor cold, and whose
 	// rate limits admit the request.
 	considered int
+	// limitFactor is the part of the concurrency limits that the rank of the request keeps.
+	limitFactor float64
+	// ranked is set if requests of several ranks ask for the service, and urgent if this
+	// is one of the most urgent of them.
+	ranked, urgent bool
+	// lowered is set if a target is full for the rank of the request, and not for the most
+	// urgent one.
+	lowered    bool
 	refusal    Refusal
 	skipped    [maxReportedCandidates]Candidate
 	numSkipped int
@@ -34,6 +42,12 @@
 	// numLimited the number of such targets.
 	limited    *snipefleet.Target
 	numLimited int
+	// chosen is the state of the target that was evaluated last, and so of the chosen one.
+	chosen *targetState
+	// postponed is the target that is used if no other is expected to end the request
+	// sooner, and postponedState its state.
+	postponed      Candidate
+	postponedState *targetState
 }
 
 // buildRefusal returns the refusal. If targets are full or limited, it reserves a retry
@@ -43,7 +57,7 @@
 	out.Candidates = slices.Clone(s.skipped[:s.numSkipped])
 	switch {
 	case s.soonest != nil && out.Reason == ReasonFull:
-		out.RetryAfter = s.soonest.reserveRetry(s.now, s.soonestFree)
+		out.RetryAfter = s.soonest.reserveRetry(s.now, s.soonestFree, s.urgent)
 	case s.limited != nil && out.Reason == ReasonLimited:
 		out.RetryAfter = s.chooser.limits.RetryDelay(s.now, s.limited)
 	}
@@ -70,6 +84,10 @@
 			s.numSkipped++
 		}
 	}
+	if s.postponed.Target != nil {
+		s.chosen = s.postponedState
+		return s.postponed, true
+	}
 	return Candidate{}, false
 }
 
