snipetable, platform: entries of a configuration are isolated; tenants and keys

Cause: one route of an unknown type made a front reject the whole configuration, and a configuration could have no tenants. Table.Problems names each case for the log; a later check of a configuration can use the same values.

--- a/snipesync/changes.go
+++ b/snipesync/changes.go
@@ -162,6 +162,7 @@
 	switch {
 	case f.Tables.UpdateIfNewer(c.Table):
 		f.Log.Info("configuration in force", fields...)
+		f.logProblems()
 	case c.Table.Version() < current.Version():
 		f.Log.Info("older configuration ignored", append(fields, zap.Uint64("inForce", current.Version()))...)
 		return
@@ -170,10 +171,28 @@
 	case item.digest != f.tableItem.digest:
 		f.Tables.ReplaceVersion(c.Table)
 		f.Log.Warn("configuration in force has changed under its version", fields...)
+		f.logProblems()
 	}
 	f.tableItem = item
 }
 
+// maxLoggedProblems bounds the log lines for one configuration, so that they do not displace
+// all others.
+const maxLoggedProblems = 100
+
+// logProblems logs the entries of the configuration in force that cannot be used.
+func (f *Follower) logProblems() {
+	table := f.Tables.Current()
+	problems := table.Problems()
+	for _, p := range problems[:min(len(problems), maxLoggedProblems)] {
+		f.Log.Warn("configuration entry not usable", zap.Uint64("version", table.Version()),
+			zap.String(string(p.Object), p.Name), zap.String("effect", string(p.Effect)), zap.Error(p.Err))
+	}
+	if n := len(problems) - maxLoggedProblems; n > 0 {
+		f.Log.Warn("further configuration entries not usable", zap.Uint64("version", table.Version()), zap.Int("entries", n))
+	}
+}
+
 // tableItem identifies the item of a configuration by its position in the store and
 // a hash of its content.
 type tableItem struct {
--- a/snipetable/holder.go
+++ b/snipetable/holder.go
@@ -10,23 +10,25 @@
 // Current returns the table in force, or nil before the first one.
 func (h *Holder) Current() *Table { return h.current.Load() }
 
-// ReplaceVersion puts t in force if the table in force has the same version.
+// ReplaceVersion puts t in force if the table in force has the same version. Tenants whose
+// quotas t does not know keep those of the table in force.
 func (h *Holder) ReplaceVersion(t *Table) {
 	old := h.current.Load()
 	if old != nil && old.version == t.version {
-		h.current.CompareAndSwap(old, t)
+		h.current.CompareAndSwap(old, t.inheritQuotas(old))
 	}
 }
 
 // UpdateIfNewer puts t in force if there is no table in force or the version of
-// t is higher. It reports whether t was put in force.
+// t is higher. It reports whether t was put in force. Tenants whose quotas t does not know
+// keep those of the table in force.
 func (h *Holder) UpdateIfNewer(t *Table) bool {
 	for {
 		old := h.current.Load()
 		if old != nil && t.version <= old.version {
 			return false
 		}
-		if h.current.CompareAndSwap(old, t) {
+		if h.current.CompareAndSwap(old, t.inheritQuotas(old)) {
 			return true
 		}
 	}
