snipegate: requests are authenticated by key and charged to their tenant

Cause: where the configuration has tenants, callers send keys, which nothing read, and targets would have received them. Change: the gate authenticates a request after its route is matched (401 unauthorized, 503 routeDisabled, tenantDisabled, configurationStale), then asks Quotas (429 overQuota with Retry-After). A token is returned once if the front refuses an admitted request that has not run. The key is looked up again after the body and before each further attempt if another table is in force. Targets get the tenant's name from the front only; the headers with the key and the tenant of the caller are omitted, on public routes too. The log line of a request has the tenant. Metrics are not labelled by tenant.

--- a/snipeconn/request.go
+++ b/snipeconn/request.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -21,6 +22,9 @@
 	// Overrides are header fields that replace those of the same name in
 	// Header. The names are in canonical form.
 	Overrides []Field
+	// Omitted are the names, in canonical form, of fields of Header that are left out.
+	// Overrides may contain them.
+	Omitted []string
 	// Body is the whole body. HasBody distinguishes an empty body from none.
 	Body    []byte
 	HasBody bool
@@ -61,7 +65,7 @@
 	b.WriteString("\r\n")
 	options := r.Header["Connection"]
 	for name, values := range r.Header {
-		if IsHopByHop(name) || name == "Content-Length" || name == "Expect" || r.overrides(name) || connectionOption(options, name) {
+		if IsHopByHop(name) || name == "Content-Length" || name == "Expect" || r.replaces(name) || connectionOption(options, name) {
 			continue
 		}
 		for _, v := range values {
@@ -91,8 +95,11 @@
 	return false
 }
 
-// overrides reports whether Overrides has a field of the given name.
-func (r *Request) overrides(name string) bool {
+// replaces reports whether Omitted or Overrides has a field of the given name.
+func (r *Request) replaces(name string) bool {
+	if slices.Contains(r.Omitted, name) {
+		return true
+	}
 	for _, f := range r.Overrides {
 		if f.Name == name {
 			return true
--- a/snipegate/attempts.go
+++ b/snipegate/attempts.go
@@ -137,10 +137,10 @@
 }
 
 // acquireRetry reports whether the request may be sent once more after an attempt
-// with the given result. It charges the retry to the retry budget, unless the request
+// with the given result. It may not if its key was removed. acquireRetry charges the retry to the retry budget, unless the request
 // reached no target and so put no load on one.
 func (q *request) acquireRetry(result attemptResult) bool {
-	if len(q.tried) >= q.route.MaxAttempts || q.r.Context().Err() != nil {
+	if len(q.tried) >= q.route.MaxAttempts || q.r.Context().Err() != nil || q.recheckKey() != "" {
 		return false
 	}
 	if time.Until(q.deadline) < minAttemptTime {
@@ -172,6 +172,7 @@
 	resp, err := q.gate.Sender.Send(ctx, &snipeconn.Request{
 		Address: t.Address, Method: q.r.Method, URI: q.uri, Host: q.r.Host, Header: q.r.Header,
 		Overrides: q.gate.HeaderCodec.TargetHeaders(TargetContext{Target: t.ID, Remaining: time.Until(q.deadline), Tenant: q.tenant}),
+		Omitted:   q.omittedHeaders(),
 		Body:      q.body, HasBody: q.r.ContentLength != 0 || q.r.Header.Get("Content-Length") != "",
 		IDHeader: q.gate.HeaderCodec.IDHeader(), ID: q.call.ID, Deadline: q.deadline,
 		OpenedSince: q.firstReported(t), Confirm: func() error { return q.confirm(t) },
--- a/snipegate/gate.go
+++ b/snipegate/gate.go
@@ -204,7 +204,10 @@
 			fields = append(fields, zap.Float64("limit", s.PerSecond), zap.Duration("limitAge", g.Clock.Now().Sub(s.At)), zap.Float64("share", share))
 		}
 	}
-	if q.status == http.StatusServiceUnavailable {
+	if q.tenant != nil {
+		fields = append(fields, zap.String("tenant", q.tenant.Name))
+	}
+	if statesRetryAfter(q.status) {
 		fields = append(fields, zap.Duration("retryAfter", q.retryAfter))
 	}
 	if impliesNotRun(q.status) && q.route != nil {
@@ -270,12 +273,16 @@
 	startedEarly bool
 	call         RequestHeaders
 
-	// recent is set if table contains all revocations that must be in force.
-	recent bool
-	table  *snipetable.Table
-	route  *snipetable.Route
+	// checkedAt is when table was read, or 0 if nothing depends on it. recent is set if
+	// table contains all revocations that must be in force at that time.
+	checkedAt snipetime.Instant
+	recent    bool
+	table     *snipetable.Table
+	route     *snipetable.Route
 	// tenant is the tenant of the key, or nil for a request that needs none.
-	tenant  *snipetable.Tenant
+	tenant *snipetable.Tenant
+	// charged is the tenant of whose quota the request holds a token, or nil.
+	charged *snipetable.Tenant
 	service string
 	uri     string
 	// spreadKey is the random affinity key of a request without an object.
@@ -319,16 +326,20 @@
 	if !q.readBody() {
 		return
 	}
+	if revoked := q.recheckKey(); revoked != "" {
+		q.refuse(revoked, disabledRetryDelay)
+		return
+	}
 	q.service = q.route.PickService(rand.Float64())
 	q.gate.recordFirstAttempt(q.service)
 	q.runAttempts()
 }
 
-// admit determines the route and the deadline. It refuses requests that cannot be
-// routed or have no time left, and then returns false.
+// admit determines the route, the tenant and the deadline. It refuses requests that cannot
+// be routed, are not allowed or have no time left, and then returns false.
 func (q *request) admit() bool {
 	if q.table == nil {
-		q.recent, q.table = q.gate.configuration()
+		q.checkedAt, q.recent, q.table = q.gate.configuration()
 	}
 	if q.table == nil {
 		q.refuse(OutcomeNoConfiguration, time.Second)
@@ -344,6 +355,9 @@
 		q.refuse(OutcomeNoRoute, 0)
 		return false
 	}
+	if !q.authenticate() {
+		return false
+	}
 	wait := q.route.Timeout
 	if q.call.Timeout > 0 {
 		wait = min(wait, q.call.Timeout)
@@ -357,18 +371,14 @@
 		q.refuse(OutcomeStopping, 0)
 		return false
 	}
+	if !q.chargeQuota() {
+		return false
+	}
 	// A response that is ready at the deadline can still be written.
 	q.setConnDeadline("write", http.NewResponseController(q.w).SetWriteDeadline, q.deadline.Add(writeGrace))
 	return true
 }
 
-// configuration returns the table in force, which is nil before the first one, and whether
-// it contains all revocations that must be in force.
-func (g *Gate) configuration() (recent bool, table *snipetable.Table) {
-	recent = g.Revocation == nil || g.Revocation.Recent(g.Clock.Now())
-	return recent, g.Tables.Current()
-}
-
 // minLoggedWait is the pipelineWait above which the wait is logged.
 const minLoggedWait = time.Millisecond
 
@@ -417,5 +427,9 @@
 		// The caller can tell by it to which of its requests the refusal belongs.
 		q.w.Header().Set(q.gate.HeaderCodec.IDHeader(), q.call.ID)
 	}
-	q.status = writeRefusal(q.w, o, q.attempts.promise(), q.retryAfter)
+	p := q.attempts.promise()
+	if p != nil {
+		q.returnToken()
+	}
+	q.status = writeRefusal(q.w, o, p, q.retryAfter)
 }
--- a/snipegate/gate_test.go
+++ b/snipegate/gate_test.go
@@ -20,11 +20,21 @@
 
 func (testDialect) Call(h http.Header) RequestHeaders {
 	wait, _ := time.ParseDuration(h.Get("Wait"))
-	return RequestHeaders{ID: h.Get("Id"), Timeout: wait, Object: h.Get("Object")}
+	c := RequestHeaders{ID: h.Get("Id"), Timeout: wait, Object: h.Get("Object")}
+	if keys := h["Key"]; len(keys) == 1 {
+		c.Key = keys[0]
+	}
+	return c
 }
 
+func (testDialect) TenantHeaders() []string { return []string{"Key", "Tenant"} }
+
 func (testDialect) TargetHeaders(c TargetContext) []snipeconn.Field {
-	return []snipeconn.Field{{Name: "Wait", Value: c.Remaining.String()}, {Name: "Target", Value: c.Target}}
+	fields := []snipeconn.Field{{Name: "Wait", Value: c.Remaining.String()}, {Name: "Target", Value: c.Target}}
+	if c.Tenant != nil {
+		fields = append(fields, snipeconn.Field{Name: "Tenant", Value: c.Tenant.Name})
+	}
+	return fields
 }
 
 func (testDialect) IDHeader() string { return "Id" }
--- a/snipegate/headers.go
+++ b/snipegate/headers.go
@@ -70,6 +70,9 @@
 	Call(h http.Header) RequestHeaders
 	// TargetHeaders returns the headers that are set on a request to a target.
 	TargetHeaders(c TargetContext) []snipeconn.Field
+	// TenantHeaders returns the names, in canonical form, of the headers with the key and
+	// the tenant. If requests need keys, those of callers are not forwarded.
+	TenantHeaders() []string
 	// IDHeader returns the name of the header that carries RequestHeaders.ID,
 	// and that responses echo.
 	IDHeader() string
--- a/snipegate/outcome.go
+++ b/snipegate/outcome.go
@@ -32,6 +32,18 @@
 	OutcomeTooLong         Outcome = "answerTooLong"
 	OutcomeTruncated       Outcome = "answerCut"
 	OutcomeUnsigned        Outcome = "answerUnsigned"
+	// OutcomeUnauthorized means that the request has no key, several, or one that the
+	// configuration does not contain.
+	OutcomeUnauthorized Outcome = "unauthorized"
+	// OutcomeRouteDisabled and OutcomeTenantDisabled mean that the configuration has an
+	// entry for the request that cannot be used.
+	OutcomeRouteDisabled  Outcome = "routeDisabled"
+	OutcomeTenantDisabled Outcome = "tenantDisabled"
+	// OutcomeConfigurationStale means that the key may have been removed without this front
+	// knowing it.
+	OutcomeConfigurationStale Outcome = "configurationStale"
+	// OutcomeOverQuota means that the quota of the tenant is used up.
+	OutcomeOverQuota Outcome = "overQuota"
 )
 
 // status returns the status code of a response that the front itself generates. p is the
@@ -44,6 +56,8 @@
 		return http.StatusBadRequest
 	case OutcomeBodyTooLarge:
 		return http.StatusRequestEntityTooLarge
+	case OutcomeUnauthorized:
+		return http.StatusUnauthorized
 	default:
 	}
 	switch {
@@ -57,11 +71,11 @@
 }
 
 // writeRefusal writes a response of the front itself and returns its status code. A
-// 503 has a Retry-After header in seconds with three decimals.
+// 429 or 503 has a Retry-After header in seconds with three decimals.
 func writeRefusal(w http.ResponseWriter, o Outcome, p *promise, retryAfter time.Duration) int {
 	status := o.status(p)
 	h := w.Header()
-	if status == http.StatusServiceUnavailable {
+	if statesRetryAfter(status) {
 		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
 	body := []byte(string(o) + "\n")
@@ -73,6 +87,11 @@
 	return status
 }
 
+// statesRetryAfter reports whether a refusal with the status tells the caller when to retry.
+func statesRetryAfter(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+}
+
 // minRetryAfter is the least Retry-After, so that refused callers do not retry at
 // once.
 const minRetryAfter = 20 * time.Millisecond
--- a/snipegate/pipeline.go
+++ b/snipegate/pipeline.go
@@ -26,13 +26,16 @@
 // request can close the connection, and the early request has then run although
 // its caller gets no response.
 func (g *Gate) ServePipelined(r *http.Request, arrived time.Time) http.Handler {
-	recent, table := g.configuration()
+	now, recent, table := g.configuration()
 	if g.stopping.Load() != nil || !idempotent(table, r) || !g.BodyMemory.TryAcquire(maxBufferedBytes) {
 		return nil
 	}
 	h := &bufferedResponse{gate: g, request: r, header: make(http.Header), released: make(chan struct{}), done: make(chan struct{})}
 	// A later table may have another kind of route for the request.
-	q := &request{gate: g, w: h, r: r, arrived: arrived, startedEarly: true, call: g.HeaderCodec.Call(r.Header), recent: recent, table: table}
+	q := &request{
+		gate: g, w: h, r: r, arrived: arrived, startedEarly: true, call: g.HeaderCodec.Call(r.Header),
+		checkedAt: now, recent: recent, table: table,
+	}
 	go h.run(q)
 	return h
 }
--- a/snipegate/promise.go
+++ b/snipegate/promise.go
@@ -108,10 +108,14 @@
 
 // status returns the status code with which the front gives the promise.
 func (*promise) status(o Outcome) int {
-	if o == OutcomeBodyTimeout {
+	switch o {
+	case OutcomeBodyTimeout:
 		return http.StatusRequestTimeout
+	case OutcomeOverQuota:
+		return http.StatusTooManyRequests
+	default:
+		return http.StatusServiceUnavailable
 	}
-	return http.StatusServiceUnavailable
 }
 
 // settleNotSent records that nothing of the last attempt, at t, was written.
--- a/snipegate/promise_test.go
+++ b/snipegate/promise_test.go
@@ -122,6 +122,7 @@
 		OutcomeTargetRefused, OutcomeTargetFailed, OutcomeNoConfiguration, OutcomeNoRoute, OutcomeNoID, OutcomeStopping,
 		OutcomeBodyTooLarge, OutcomeBodyBroken, OutcomeBodyTimeout, OutcomeNoMemory, OutcomeCallerGone, OutcomeTimeout,
 		OutcomeUnreachable, OutcomeResponseLost, OutcomeMalformed, OutcomeTooLong, OutcomeTruncated, OutcomeUnsigned,
+		OutcomeUnauthorized, OutcomeRouteDisabled, OutcomeTenantDisabled, OutcomeConfigurationStale, OutcomeOverQuota,
 	}
 	rapid.Check(t, func(rt *rapid.T) {
 		var attempts attemptRecord
