--- a/snipegate/gate.go
+++ b/snipegate/gate.go
@@ -81,7 +81,7 @@
 // Quotas decides whether requests are within the quotas of their tenants.
 type Quotas interface {
 	// Admit takes a token of the quota of t for a request, or returns after how long the
-	// caller should retry.
+	// caller should retry. now can be slightly earlier than in an earlier call.
 	Admit(now snipetime.Instant, t *snipetable.Tenant) (retryAfter time.Duration, admitted bool)
 	// Return gives back the token of a request that has not run and never will.
 	Return(now snipetime.Instant, t *snipetable.Tenant)
--- a/snipetable/table.go
+++ b/snipetable/table.go
@@ -54,7 +54,7 @@
 	Name string
 	// Host is the value of the Host header in lower case, without a port.
 	Host string
-	// Prefix begins and ends with a slash.
+	// Prefix begins with a slash, and ends with one unless the route is disabled.
 	Prefix string
 	Kind   Kind
 	// Timeout bounds the time until a request has its final answer. It is positive.
@@ -67,7 +67,8 @@
 	MaxAttempts int
 	// Priority is the rank of the route; 0 is the highest.
 	Priority int
-	// Backends has at least one entry, and one with a positive weight.
+	// Backends has at least one entry, and one with a positive weight, unless the route is
+	// disabled.
 	Backends []Backend
 	// Sticky routes send the requests of an object to the same targets.
 	Sticky bool
