--- a/snipegate/tenants_test.go
+++ b/snipegate/tenants_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -188,7 +189,8 @@
 		"lost":             {snipetable.NonIdempotent, nil, []sendResult{lost}, 502, 0},
 		"lost, then shed":  {snipetable.Idempotent, nil, []sendResult{lost, shed}, 502, 0},
 		"body too large":   {snipetable.Upload, strings.NewReader(long), nil, 413, 1},
-		"body cut":         {snipetable.Upload, failingReader{}, nil, 400, 1},
+		"body cut":         {snipetable.Upload, failingReader{io.ErrUnexpectedEOF}, nil, 400, 1},
+		"body too late":    {snipetable.Upload, failingReader{os.ErrDeadlineExceeded}, nil, 408, 1},
 		"body answered":    {snipetable.Upload, strings.NewReader("body"), []sendResult{successResult("x")}, 200, 0},
 		"download refused": {snipetable.Download, nil, []sendResult{shed, shed}, 503, 1},
 	} {
@@ -201,9 +203,30 @@
 }
 
 // failingReader is a body of unknown length that ends with an error.
-type failingReader struct{}
+type failingReader struct{ err error }
 
-func (failingReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+func (r failingReader) Read([]byte) (int, error) { return 0, r.err }
+
+// TestTokenWithoutTarget guards against a token that is kept for a request that no target
+// takes, or whose caller has left.
+func TestTokenWithoutTarget(t *testing.T) {
+	r, quotas := newTenantGate(t, snipetable.NonIdempotent)
+	for _, id := range []string{"a", "b", "c"} {
+		r.fleet.RemoveTarget(r.gate.Clock.Now(), id)
+	}
+	if w := r.callWithKeys(http.MethodPost, "/", nil, keyOfT); w.Code != http.StatusServiceUnavailable || quotas.returned.Load() != 1 {
+		t.Errorf("no target: status %d, %d tokens returned", w.Code, quotas.returned.Load())
+	}
+	r, quotas = newTenantGate(t, snipetable.NonIdempotent, failureResult(snipeconn.CauseCancelled, false))
+	req := httptest.NewRequest(http.MethodPost, "/", nil)
+	req.Host, req.Header = "h", http.Header{"Id": {"1"}, "Key": {keyOfT}}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	r.gate.ServeHTTP(httptest.NewRecorder(), req.WithContext(ctx))
+	if quotas.charged.Load() != 1 || quotas.returned.Load() != 1 {
+		t.Errorf("caller gone: %d tokens taken, %d returned", quotas.charged.Load(), quotas.returned.Load())
+	}
+}
 
 // TestOverQuota guards against a request above the quota that runs, or whose caller is not
 // told when to retry.
--- a/snipetable/keys.go
+++ b/snipetable/keys.go
@@ -49,7 +49,7 @@
 
 // TenantOfKey returns the tenant that holds key. known is false if no tenant holds it. The
 // tenant is nil if known is true but the configuration does not say which tenant it is. The
-// time that the look-up takes does not depend on the keys of the table.
+// time that the look-up takes shows at most the length of the longest key of the table.
 func (t *Table) TenantOfKey(key string) (tenant *Tenant, known bool) {
 	if t.tenants.unreadable {
 		return nil, true
