snipefront: gauge of the problems of the configuration in force

Cause: an entry that is not usable was visible in log lines only. Change: snipemoor_configuration_problems. Measured: go vet and the linter pass; snipefront has no tests.

--- a/snipefront/front.go
+++ b/snipefront/front.go
@@ -158,11 +158,20 @@
 		{"snipemoor_store_epoch", "Restorations of the store, as it states them.", func() float64 { return float64(f.items.Position().Epoch) }},
 		{"snipemoor_store_revision", "Revision of the store up to which changes are applied.", func() float64 { return float64(f.items.Position().Revision) }},
 		{"snipemoor_configuration_version", "Version of the configuration in force, 0 before the first one.", f.configurationVersion},
+		{"snipemoor_configuration_problems", "Entries, or parts of them, of the configuration in force that cannot be used.", f.configurationProblems},
 	} {
 		f.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: g.name, Help: g.help}, g.value))
 	}
 }
 
+// configurationProblems returns the number of problems of the configuration in force.
+func (f *Front) configurationProblems() float64 {
+	if table := f.tables.Current(); table != nil {
+		return float64(len(table.Problems()))
+	}
+	return 0
+}
+
 // configurationVersion returns the version of the configuration in force, or 0 if there
 // is none.
 func (f *Front) configurationVersion() float64 {
