--- a/snipesync/revocation_model_test.go
+++ b/snipesync/revocation_model_test.go
@@ -154,7 +154,7 @@
 		c.DecodeErr = errors.New("unreadable")
 		return c, true
 	}
-	c.Table, c.DecodeErr = snipetable.New(version, nil, nil, snipetable.Limits{})
+	c.Table = snipetable.New(snipetable.Content{Version: version})
 	return c, true
 }
 
