snipeconn: the end of a connection that was reset does not end a body

A target that answers a long upload at once without a length, sends a part of the body and resets the connection had that part forwarded as complete. The kernel reports the reset once, to the writer of the request body, and the reader then sees io.EOF.

A body with a length or chunks needs none of this.

--- a/snipeconn/response.go
+++ b/snipeconn/response.go
@@ -181,7 +181,11 @@
 	if resp.ContentLength > e.pools.settings.MaxBodyBytes {
 		return nil, fmt.Errorf("body of %d bytes: %w", resp.ContentLength, errTooLong)
 	}
-	complete, err := e.bufferBody(resp, out)
+	body := io.Reader(resp.Body)
+	if EndsWithConn(resp) {
+		body = &unframedBody{body: resp.Body, exchange: e}
+	}
+	complete, err := e.bufferBody(resp, body, out)
 	if err != nil {
 		return nil, fmt.Errorf("read response body: %w", err)
 	}
@@ -192,7 +196,7 @@
 		return out, nil
 	}
 	remaining := e.pools.settings.MaxBodyBytes - int64(len(out.Body))
-	out.Stream = &bodyStream{exchange: e, body: resp.Body, remaining: remaining}
+	out.Stream = &bodyStream{exchange: e, body: body, remaining: remaining}
 	out.finish = func() {
 		e.stopWatching()
 		e.conn.discard()
@@ -204,7 +208,7 @@
 // bufferBody reads the body of a response into out.Body, up to
 // Settings.MaxBufferedBytes, and reports whether that is the whole body. It reads
 // nothing if the declared length is above that limit or there is no memory.
-func (e *exchange) bufferBody(resp *http.Response, out *Response) (complete bool, err error) {
+func (e *exchange) bufferBody(resp *http.Response, body io.Reader, out *Response) (complete bool, err error) {
 	limit := e.pools.settings.MaxBufferedBytes
 	n := resp.ContentLength
 	if n > limit {
@@ -217,10 +221,10 @@
 	}
 	if resp.ContentLength >= 0 {
 		out.Body = make([]byte, n)
-		_, err = io.ReadFull(resp.Body, out.Body)
+		_, err = io.ReadFull(body, out.Body)
 		return true, err //nolint:wrapcheck // readBody adds the context
 	}
-	out.Body, err = io.ReadAll(io.LimitReader(resp.Body, limit))
+	out.Body, err = io.ReadAll(io.LimitReader(body, limit))
 	return int64(len(out.Body)) < limit, err //nolint:wrapcheck // readBody adds the context
 }
 
