snipeconn, snipetarget: a status that is none fails the attempt at once

net/http accepts signs and every status below 1000. 000, 042, 099 and +20 were taken for interim responses, so that the exchange waited until its deadline (10 s in the test); 600 and 999 were passed on. snipetarget passed all of them on. Now the attempt fails as malformed.

The response that a test of snipetarget makes by hand has a status line now, as each one that net/http reads.

--- a/snipeconn/fuzz_test.go
+++ b/snipeconn/fuzz_test.go
@@ -7,6 +7,8 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -23,6 +25,13 @@
 	f.Add([]byte("HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Long: " + strings.Repeat("a", 64<<10) + "\r\n\r\n"))
 	f.Add([]byte("HTTP/1.1 204 No Content\r\nX-Id: 1\r\n\r\n"))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nunframed"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Id: 1\r\n\r\n2\r\nok\r\n0\r\n"))
+	f.Add([]byte("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\nX-Id: 1\r\n\r\n2\r\nok\r\n0\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 3\r\nX-Id: 1\r\n\r\nok"))
+	for _, status := range []string{"000", "042", "099", "+20", "600", "999", "20", "2000", "199"} {
+		f.Add([]byte("HTTP/1.1 " + status + " X\r\nX-Id: 1\r\nContent-Length: 0\r\n\r\n"))
+	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		near, far := net.Pipe()
 		go func() {
@@ -45,6 +54,12 @@
 			c.discard()
 			return
 		}
+		if resp.Status < http.StatusOK || resp.Status > 599 {
+			t.Errorf("status %d was accepted", resp.Status)
+		}
+		if n := resp.Header.Get("Content-Length"); n != "" && resp.Stream == nil && n != strconv.Itoa(len(resp.Body)) {
+			t.Errorf("%d bytes were accepted as a body of length %s", len(resp.Body), n)
+		}
 		if id := resp.Header.Get(idHeader); id != "" && id != "1" {
 			t.Errorf("a response to request %q was accepted", id)
 		}
--- a/snipeconn/response.go
+++ b/snipeconn/response.go
@@ -11,7 +11,7 @@
 
 // Response is the response of a target to one request. Close must be called.
 type Response struct {
-	// Status is the HTTP status code, 200 or above.
+	// Status is the HTTP status code, from 200 to 599.
 	Status int
 	// Header holds the header fields as received.
 	Header http.Header
@@ -115,6 +115,9 @@
 		if err != nil {
 			return nil, fmt.Errorf("read response: %w", err)
 		}
+		if err := CheckStatus(resp); err != nil {
+			return nil, err
+		}
 		if resp.StatusCode == http.StatusSwitchingProtocols {
 			return nil, errSwitching
 		}
--- a/snipetarget/attempt.go
+++ b/snipetarget/attempt.go
@@ -13,6 +13,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/snipemoor/snipemoor/snipeconn"
 )
 
 const (
@@ -269,6 +271,10 @@
 		cancel()
 		pool.release(pt)
 	}}
+	if err := snipeconn.CheckStatus(resp); err != nil {
+		_ = body.Close()
+		return nil, &Error{Execution: MaybeBegun, Cause: CauseBadResponse, Err: err}
+	}
 	if resp.StatusCode == http.StatusSwitchingProtocols {
 		_ = body.Close()
 		return nil, &Error{Execution: MaybeBegun, Cause: CauseBadResponse, Err: errors.New("response switches protocols")}
--- a/snipetarget/repeatedshed_test.go
+++ b/snipetarget/repeatedshed_test.go
@@ -23,7 +23,7 @@
 		// An error means that the connection is sealed.
 		_, _ = conn.Write([]byte(text))
 	}
-	return &http.Response{StatusCode: http.StatusServiceUnavailable, Header: http.Header{notRunHeader: {"1"}}, Body: http.NoBody}, nil
+	return &http.Response{Status: "503 Service Unavailable", StatusCode: http.StatusServiceUnavailable, Header: http.Header{notRunHeader: {"1"}}, Body: http.NoBody}, nil
 }
 
 // discardingConn is a connection that discards what is written to it.
