snipetarget: the end of a connection that was reset does not end a body

The fault of snipeconn has kin here: net/http's writer gets the report of the reset, and its reader takes the end for the end of a body without a length.

Such a body now ends only if the connection was half-closed when its reader saw the end, no write failed, and net/http reports the request as written (which it may do up to 50 ms later, as net/http itself assumes).

Targets of this test and of its kin in snipeconn now receive into 16 KiB.

--- a/snipeconn/earlyreset_test.go
+++ b/snipeconn/earlyreset_test.go
@@ -138,6 +138,8 @@
 	const (
 		upload  = 600_000
 		repeats = 20
+		// receiveBytes is the size of the buffer for received bytes of the target.
+		receiveBytes = 16 << 10
 	)
 	reset := func(c net.Conn) { _ = c.(*net.TCPConn).SetLinger(0) }
 	halfClose := func(c net.Conn) { _ = c.(*net.TCPConn).CloseWrite() }
@@ -162,6 +164,8 @@
 		t.Run(name, func(t *testing.T) {
 			done := make(chan struct{})
 			address := startTarget(t, func(c net.Conn, r *bufio.Reader) {
+				// The upload does not fit, so that it is not acknowledged without being read.
+				_ = c.(*net.TCPConn).SetReadBuffer(receiveBytes)
 				if tc.readBytes < 0 {
 					_, _ = readRequest(r)
 				} else {
--- a/snipetarget/attempt.go
+++ b/snipetarget/attempt.go
@@ -173,6 +173,9 @@
 	// been written to the previous one.
 	maybeBegun bool
 	firstByte  atomic.Bool
+	// written is closed when the whole request has been written.
+	written     chan struct{}
+	writtenOnce sync.Once
 }
 
 // gotConn records the connection. net/http calls it again if it repeats the
@@ -236,10 +239,11 @@
 // the time to connect and to wait for the headers. Errors are of type *Error.
 func (p *Pools) Attempt(ctx context.Context, r Request) (*Response, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	t := &tracker{cancel: cancel}
+	t := &tracker{cancel: cancel, written: make(chan struct{})}
 	trace := &httptrace.ClientTrace{
 		GotConn:              t.gotConn,
 		GotFirstResponseByte: func() { t.firstByte.Store(true) },
+		WroteRequest:         t.wroteRequest,
 	}
 	req, err := r.httpRequest(httptrace.WithClientTrace(ctx, trace))
 	if err != nil {
@@ -275,6 +279,9 @@
 		_ = body.Close()
 		return nil, &Error{Execution: MaybeBegun, Cause: CauseBadResponse, Err: err}
 	}
+	if snipeconn.EndsWithConn(resp) {
+		body.ReadCloser = &unframedBody{ReadCloser: resp.Body, tracker: t}
+	}
 	if resp.StatusCode == http.StatusSwitchingProtocols {
 		_ = body.Close()
 		return nil, &Error{Execution: MaybeBegun, Cause: CauseBadResponse, Err: errors.New("response switches protocols")}
--- a/snipetarget/badresponse_test.go
+++ b/snipetarget/badresponse_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 )
 
@@ -49,3 +51,79 @@
 		})
 	}
 }
+
+// TestEarlyResponse guards against a response without a length whose connection was
+// reset, or was closed before the upload was written, being passed on as complete. An
+// orderly end after the whole request is complete.
+func TestEarlyResponse(t *testing.T) {
+	const (
+		head    = "HTTP/1.1 200 OK\r\n\r\npart"
+		framed  = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npart"
+		upload  = 600_000
+		repeats = 20
+		// receiveBytes is the size of the buffer for received bytes of the target.
+		receiveBytes = 16 << 10
+	)
+	reset := func(c net.Conn) { _ = c.(*net.TCPConn).SetLinger(0) }
+	halfClose := func(c net.Conn) { _ = c.(*net.TCPConn).CloseWrite() }
+	cases := map[string]struct {
+		response string
+		// readBytes is how much of the request the target reads before it responds.
+		readBytes int64
+		end       func(net.Conn)
+		complete  bool
+	}{
+		"reset":                        {head, 4 << 10, reset, false},
+		"closed with unread bytes":     {head, 4 << 10, func(net.Conn) {}, false},
+		"half-closed":                  {head, 4 << 10, halfClose, false},
+		"half-closed after the upload": {head, -1, halfClose, true},
+		"length, half-closed":          {framed, 4 << 10, halfClose, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			done := make(chan struct{})
+			defer close(done)
+			target := serveTarget(t, func(c net.Conn, r *bufio.Reader) {
+				// The upload does not fit, so that it is not acknowledged without being read.
+				_ = c.(*net.TCPConn).SetReadBuffer(receiveBytes)
+				if tc.readBytes < 0 {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, req.Body)
+				} else {
+					_, _ = io.CopyN(io.Discard, r, tc.readBytes)
+				}
+				_, _ = io.WriteString(c, tc.response)
+				if tc.end(c); strings.Contains(name, "half-closed") {
+					<-done
+				}
+			})
+			for range repeats {
+				// Each upload has a new connection, since the target ends the previous one.
+				pools := New(Settings{}, &net.Dialer{})
+				err := attemptUpload(t, pools, target, upload)
+				pools.Close()
+				if tc.complete != (err == nil) {
+					t.Fatalf("error %v of a response that is complete: %v", err, tc.complete)
+				}
+			}
+		})
+	}
+}
+
+// attemptUpload sends an upload of n bytes and reads the whole response.
+func attemptUpload(t *testing.T, pools *Pools, target string, n int) error {
+	t.Helper()
+	resp, err := pools.Attempt(testContext(t), Request{
+		Target: target, Method: http.MethodPost, URI: "/",
+		Body: io.NopCloser(bytes.NewReader(make([]byte, n))), ContentLength: int64(n),
+	})
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err
+}
--- a/snipetarget/conn.go
+++ b/snipetarget/conn.go
@@ -2,8 +2,11 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"sync"
+
+	"github.com/snipemoor/snipemoor/snipeconn"
 )
 
 var errSealed = errors.New("connection is sealed")
@@ -23,7 +26,10 @@
 	// a response may have refused its request.
 	responseDue bool
 	mayRefuse   bool
-	once        sync.Once
+	// endErr is the first error of a write, or says why the end of the connection that a
+	// read has returned is not an orderly one.
+	endErr error
+	once   sync.Once
 }
 
 // Write implements net.Conn. The bytes count as written before the system call,
@@ -36,13 +42,37 @@
 	}
 	c.written += uint64(len(p))
 	c.mu.Unlock()
-	return c.Conn.Write(p) //nolint:wrapcheck // net/http inspects errors of the connection
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.recordEnd(err)
+	}
+	return n, err //nolint:wrapcheck // net/http inspects errors of the connection
+}
+
+// recordEnd records err as endErr if it is the first one.
+func (c *trackedConn) recordEnd(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.endErr == nil {
+		c.endErr = err
+	}
+}
+
+// endError returns endErr.
+func (c *trackedConn) endError() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.endErr
 }
 
 // Read implements net.Conn. net/http reuses a connection only after it has read the
 // response, so that mayRefuse is set before the next request gets the connection.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) {
+		// net/http closes the connection soon, and its state is lost then.
+		c.recordEnd(snipeconn.CheckOrderlyEnd(c.Conn))
+	}
 	c.mu.Lock()
 	if c.responseDue && n > 0 {
 		c.responseDue = false
