--- a/snipeconn/earlyreset_test.go
+++ b/snipeconn/earlyreset_test.go
@@ -140,6 +140,7 @@
 		repeats = 20
 		// receiveBytes is the size of the buffer for received bytes of the target.
 		receiveBytes = 16 << 10
+		someBytes    = 4 << 10
 	)
 	reset := func(c net.Conn) { _ = c.(*net.TCPConn).SetLinger(0) }
 	halfClose := func(c net.Conn) { _ = c.(*net.TCPConn).CloseWrite() }
@@ -150,22 +151,24 @@
 		end       func(net.Conn)
 		complete  bool
 	}{
-		"reset":                        {unframedHead + "part", 4 << 10, reset, false},
+		"reset":                        {unframedHead + "part", someBytes, reset, false},
 		"reset, later":                 {unframedHead + "part", 300_000, reset, false},
-		"closed with unread bytes":     {unframedHead + "part", 4 << 10, func(net.Conn) {}, false},
-		"half-closed":                  {unframedHead + "part", 4 << 10, halfClose, false},
+		"closed with unread bytes":     {unframedHead + "part", someBytes, func(net.Conn) {}, false},
+		"half-closed":                  {unframedHead + "part", someBytes, halfClose, false},
 		"half-closed after the upload": {unframedHead + "part", -1, halfClose, true},
 		"closed after the upload":      {unframedHead + "part", -1, func(net.Conn) {}, true},
-		"length, half-closed":          {framedHead + "part", 4 << 10, halfClose, true},
-		"chunks, half-closed":          {chunkedHead + "4\r\npart\r\n0\r\n\r\n", 4 << 10, halfClose, true},
-		"reset in the length":          {framedHead + "par", 4 << 10, reset, false},
+		"length, half-closed":          {framedHead + "part", someBytes, halfClose, true},
+		"chunks, half-closed":          {chunkedHead + "4\r\npart\r\n0\r\n\r\n", someBytes, halfClose, true},
+		"reset in the length":          {framedHead + "par", someBytes, reset, false},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			done := make(chan struct{})
 			address := startTarget(t, func(c net.Conn, r *bufio.Reader) {
-				// The upload does not fit, so that it is not acknowledged without being read.
-				_ = c.(*net.TCPConn).SetReadBuffer(receiveBytes)
+				if tc.readBytes == someBytes {
+					// The rest does not fit, so that it is not acknowledged without being read.
+					_ = c.(*net.TCPConn).SetReadBuffer(receiveBytes)
+				}
 				if tc.readBytes < 0 {
 					_, _ = readRequest(r)
 				} else {
--- a/snipetarget/badresponse_test.go
+++ b/snipetarget/badresponse_test.go
@@ -63,6 +63,7 @@
 		repeats = 20
 		// receiveBytes is the size of the buffer for received bytes of the target.
 		receiveBytes = 16 << 10
+		someBytes    = 4 << 10
 	)
 	reset := func(c net.Conn) { _ = c.(*net.TCPConn).SetLinger(0) }
 	halfClose := func(c net.Conn) { _ = c.(*net.TCPConn).CloseWrite() }
@@ -73,19 +74,21 @@
 		end       func(net.Conn)
 		complete  bool
 	}{
-		"reset":                        {head, 4 << 10, reset, false},
-		"closed with unread bytes":     {head, 4 << 10, func(net.Conn) {}, false},
-		"half-closed":                  {head, 4 << 10, halfClose, false},
+		"reset":                        {head, someBytes, reset, false},
+		"closed with unread bytes":     {head, someBytes, func(net.Conn) {}, false},
+		"half-closed":                  {head, someBytes, halfClose, false},
 		"half-closed after the upload": {head, -1, halfClose, true},
-		"length, half-closed":          {framed, 4 << 10, halfClose, true},
+		"length, half-closed":          {framed, someBytes, halfClose, true},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			done := make(chan struct{})
 			defer close(done)
 			target := serveTarget(t, func(c net.Conn, r *bufio.Reader) {
-				// The upload does not fit, so that it is not acknowledged without being read.
-				_ = c.(*net.TCPConn).SetReadBuffer(receiveBytes)
+				if tc.readBytes == someBytes {
+					// The rest does not fit, so that it is not acknowledged without being read.
+					_ = c.(*net.TCPConn).SetReadBuffer(receiveBytes)
+				}
 				if tc.readBytes < 0 {
 					req, err := http.ReadRequest(r)
 					if err != nil {
