--- a/snipeconn/bodyend.go
+++ b/snipeconn/bodyend.go
@@ -44,23 +44,19 @@
 
 // checkEnd returns an error unless the connection, whose reader has seen its end, was
 // closed in order after the whole request had been received. The kernel reports a reset
-// only once, and a writer that gets the report leaves io.EOF to the reader. The socket
-// is looked at first, because writes that are expired afterwards would not change it.
+// only once, and a writer that gets the report leaves io.EOF to the reader. The writer is
+// stopped first, because what it writes later would not be in the state of the socket.
 func (e *exchange) checkEnd() error {
-	if err := CheckOrderlyEnd(e.conn.Conn); err != nil {
-		return err
-	}
-	if e.written == nil {
-		return nil
-	}
-	// This fails only if the connection is closed already.
-	_ = e.conn.SetWriteDeadline(pastDeadline)
-	err := <-e.written
-	e.written <- err
-	if err != nil {
-		return fmt.Errorf("%w: write request body: %w", errBrokenOff, err)
+	if e.written != nil {
+		// This fails only if the connection is closed already.
+		_ = e.conn.SetWriteDeadline(pastDeadline)
+		err := <-e.written
+		e.written <- err
+		if err != nil {
+			return fmt.Errorf("%w: write request body: %w", errBrokenOff, err)
+		}
 	}
-	return nil
+	return CheckOrderlyEnd(e.conn.Conn)
 }
 
 // CheckOrderlyEnd returns an error unless the peer of a TCP connection has closed it in
--- a/snipetarget/conn.go
+++ b/snipetarget/conn.go
@@ -29,7 +29,10 @@
 	// endErr is the first error of a write, or says why the end of the connection that a
 	// read has returned is not an orderly one.
 	endErr error
-	once   sync.Once
+	// ended is set when a read has returned the end of the connection, and closed when
+	// the connection has been closed on this side.
+	ended, closed bool
+	once          sync.Once
 }
 
 // Write implements net.Conn. The bytes count as written before the system call,
@@ -41,23 +44,50 @@
 		return 0, errSealed
 	}
 	c.written += uint64(len(p))
+	if c.ended && c.endErr == nil {
+		c.endErr = errRequestNotWritten
+	}
 	c.mu.Unlock()
 	n, err := c.Conn.Write(p)
-	if err != nil {
-		c.recordEnd(err)
-	}
+	c.recordWrite(err)
 	return n, err //nolint:wrapcheck // net/http inspects errors of the connection
 }
 
-// recordEnd records err as endErr if it is the first one.
-func (c *trackedConn) recordEnd(err error) {
+// recordWrite records the result of a write. If a read returned the end in the meantime,
+// the state of the connection shows whether the write was received before.
+func (c *trackedConn) recordWrite(err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if err == nil && c.ended && !c.closed {
+		err = snipeconn.CheckOrderlyEnd(c.Conn)
+	}
 	if c.endErr == nil {
 		c.endErr = err
 	}
 }
 
+// recordEnd records that a read returned the end. net/http closes the connection soon,
+// and its state is lost then.
+func (c *trackedConn) recordEnd() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended = true
+	if c.endErr == nil {
+		c.endErr = snipeconn.CheckOrderlyEnd(c.Conn)
+	}
+}
+
+// recordClose records that the connection is about to be closed on this side. What was
+// written since a read returned the end shows in the state of the connection until then.
+func (c *trackedConn) recordClose() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended && !c.closed && c.endErr == nil {
+		c.endErr = snipeconn.CheckOrderlyEnd(c.Conn)
+	}
+	c.closed = true
+}
+
 // endError returns endErr.
 func (c *trackedConn) endError() error {
 	c.mu.Lock()
@@ -70,8 +100,7 @@
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if errors.Is(err, io.EOF) {
-		// net/http closes the connection soon, and its state is lost then.
-		c.recordEnd(snipeconn.CheckOrderlyEnd(c.Conn))
+		c.recordEnd()
 	}
 	c.mu.Lock()
 	if c.responseDue && n > 0 {
@@ -104,6 +133,7 @@
 
 // Close implements net.Conn.
 func (c *trackedConn) Close() error {
+	c.recordClose()
 	err := c.Conn.Close()
 	c.once.Do(c.release)
 	return err //nolint:wrapcheck // net/http inspects errors of the connection
