snipegate, snipefront: slow callers hold half of the memory at most

What a caller has not read was counted in the budget for request bodies, so that slow callers made the front refuse uploads (503 noMemory); responses now have at most half of it. The memory of an upload was held while its caller read the response, and is released before. A response to a pipelined request that waited behind an earlier one, or for its caller, was not counted once it was complete; now it counts with its size until it is delivered or the caller leaves.

--- a/snipefront/front.go
+++ b/snipefront/front.go
@@ -14,7 +14,6 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/zap"
-	"golang.org/x/sync/semaphore"
 
 	"github.com/snipemoor/snipemoor/platform"
 	"github.com/snipemoor/snipemoor/snipeconn"
@@ -39,12 +38,6 @@
 	// memoryLimitShare is the fraction of the memory of the process that is set as
 	// the soft limit of the garbage collector.
 	memoryLimitShare = 0.6
-	// bodyMemoryShare is the fraction of the memory of the process for the bodies of
-	// requests and responses.
-	bodyMemoryShare = 0.25
-	// defaultMemoryBytes is the assumed memory of the process if the settings state
-	// none.
-	defaultMemoryBytes = 256 << 20
 	// maxAuxiliaryHeaderBytes bounds the headers of requests to the directory,
 	// readiness and metrics. auxiliaryTimeout bounds the time to read such a request,
 	// and the time to write its response.
@@ -88,11 +81,12 @@
 		return nil, err
 	}
 	memory := newBodyMemory(s.MemoryBytes)
+	responseMemory := newMemoryShare(memory, s.MemoryBytes)
 	f := &Front{
 		loadSettings: load, metricsAddress: metrics, log: log, registry: prometheus.NewRegistry(),
 		store: platform.NewStore(s.Store), items: snipefeed.NewLog(), decoder: platform.NewDecoder(s.Regions),
 		clock: snipetime.New(), fleet: snipefleet.New(), tables: &snipetable.Holder{},
-		pools: snipeconn.New(snipeconn.Settings{Memory: memory}),
+		pools: snipeconn.New(snipeconn.Settings{Memory: responseMemory}),
 	}
 	self := snipefleet.Member{Name: s.Name, Address: s.CallerListen, Peer: s.PeerListen, Place: s.Place}
 	f.quotas = snipequota.New(self, f.fleet, log)
@@ -106,7 +100,7 @@
 	f.gate = snipegate.New(snipegate.Dependencies{
 		HeaderCodec: platform.Headers{}, Tables: f.tables, Fleet: f.fleet, Chooser: f.chooser,
 		Limits: f.quotas, Sender: f.pools, Clock: f.clock, Metrics: snipegate.NewMetrics(f.registry), Log: requests,
-		BodyMemory: memory,
+		BodyMemory: memory, ResponseMemory: responseMemory,
 		RetryBudget: func() sniperetry.BudgetSettings {
 			return retryBudget(f.settings.Load().Bounds, len(f.fleet.View().Members()))
 		},
@@ -137,16 +131,6 @@
 	return nil
 }
 
-// newBodyMemory returns the memory budget, in bytes, for the bodies of requests and
-// responses. process is the memory of the process in bytes, or zero if it is not
-// known.
-func newBodyMemory(process int64) *semaphore.Weighted {
-	if process == 0 {
-		process = defaultMemoryBytes
-	}
-	return semaphore.NewWeighted(int64(bodyMemoryShare * float64(process)))
-}
-
 // registerStateMetrics registers gauges of what the front believes.
 func (f *Front) registerStateMetrics() {
 	for _, g := range []struct {
--- a/snipegate/gate.go
+++ b/snipegate/gate.go
@@ -111,9 +111,11 @@
 	Clock       Clock
 	Metrics     *Metrics
 	Log         *zap.Logger
-	// BodyMemory is the budget for the bodies of all requests, and for the
-	// responses to pipelined requests.
+	// BodyMemory is the budget for the bodies of all requests.
 	BodyMemory Memory
+	// ResponseMemory is the budget for the responses to pipelined requests. It should
+	// leave a part of BodyMemory free, since callers decide how long it is held.
+	ResponseMemory Memory
 	// RetryBudget returns the settings of a retry budget. It is called before each use
 	// of one, since the part of this front changes with the number of fronts.
 	RetryBudget func() sniperetry.BudgetSettings
--- a/snipegate/pipeline.go
+++ b/snipegate/pipeline.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"maps"
 	"net/http"
 	"sync"
@@ -27,10 +28,11 @@
 // its caller gets no response.
 func (g *Gate) ServePipelined(r *http.Request, arrived time.Time) http.Handler {
 	recent, table := g.configuration()
-	if g.stopping.Load() != nil || !idempotent(table, r) || !g.BodyMemory.TryAcquire(maxBufferedBytes) {
+	if g.stopping.Load() != nil || !idempotent(table, r) || !g.ResponseMemory.TryAcquire(maxBufferedBytes) {
 		return nil
 	}
 	h := &bufferedResponse{gate: g, request: r, header: make(http.Header), released: make(chan struct{}), done: make(chan struct{})}
+	h.reserved = maxBufferedBytes
 	// A later table may have another kind of route for the request.
 	q := &request{gate: g, w: h, r: r, arrived: arrived, startedEarly: true, call: g.HeaderCodec.Call(r.Header), recent: recent, table: table}
 	go h.run(q)
@@ -66,13 +68,35 @@
 	status   int
 	body     bytes.Buffer
 	deadline time.Time
+	// reserved is the part of the memory for responses that body may use, in bytes.
+	reserved int
 }
 
-// run handles the request, and returns the memory of the buffer when the response is
-// complete.
+// run handles the request. It leaves the memory of the buffered bytes reserved until they
+// are delivered or the caller disconnects.
 func (h *bufferedResponse) run(q *request) {
+	h.handle(q)
+	h.mu.Lock()
+	h.keepReserved(h.body.Len())
+	h.mu.Unlock()
+	context.AfterFunc(h.request.Context(), func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.keepReserved(0)
+	})
+}
+
+// keepReserved returns all reserved memory except for n bytes. The caller holds h.mu.
+func (h *bufferedResponse) keepReserved(n int) {
+	if h.reserved > n {
+		h.gate.ResponseMemory.Release(int64(h.reserved - n))
+		h.reserved = n
+	}
+}
+
+// handle handles the request until the response is complete or aborted.
+func (h *bufferedResponse) handle(q *request) {
 	defer close(h.done)
-	defer h.gate.BodyMemory.Release(maxBufferedBytes)
 	defer func() {
 		if cause := recover(); cause != nil {
 			if cause != http.ErrAbortHandler { //nolint:errorlint // a panic value is compared, as net/http does
@@ -105,6 +129,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.w = w
+	defer h.keepReserved(0)
 	if !h.deadline.IsZero() {
 		// This fails only on a closed connection, on which the next write fails too.
 		_ = http.NewResponseController(w).SetWriteDeadline(h.deadline)
@@ -116,6 +141,7 @@
 	w.WriteHeader(h.status)
 	// A write error means that the caller has disconnected.
 	_, _ = h.body.WriteTo(w)
+	h.body = bytes.Buffer{}
 }
 
 // Header implements http.ResponseWriter.
--- a/snipegate/pipeline_test.go
+++ b/snipegate/pipeline_test.go
@@ -212,7 +212,7 @@
 	s := &delaySender{started: make(chan string, 16)}
 	c, r := dialGate(t, snipetable.Idempotent, s)
 	memory := semaphore.NewWeighted(maxBufferedBytes)
-	r.gate.BodyMemory = memory
+	r.gate.ResponseMemory = memory
 	if _, err := io.WriteString(c, pipelinedRequests("/50ms/1", "/50ms/2", "/50ms/3")); err != nil {
 		t.Fatal(err)
 	}
@@ -233,3 +233,42 @@
 		t.Error("memory of delivered responses is not released")
 	}
 }
+
+// TestUndeliveredMemory guards against memory that is held without being counted: a
+// response that waits behind an earlier one counts until its caller gets it or leaves.
+func TestUndeliveredMemory(t *testing.T) {
+	for _, leaves := range []bool{false, true} {
+		t.Run(fmt.Sprintf("caller leaves %v", leaves), func(t *testing.T) {
+			s := &delaySender{started: make(chan string, 16), body: strings.Repeat("x", 20<<10)}
+			c, r := dialGate(t, snipetable.Idempotent, s)
+			memory := &countedMemory{changed: make(chan int64, 16)}
+			r.gate.ResponseMemory = memory
+			if _, err := io.WriteString(c, pipelinedRequests("/300ms/1", "/1ms/2")); err != nil {
+				t.Fatal(err)
+			}
+			if n := <-memory.changed; n != maxBufferedBytes {
+				t.Fatalf("%d bytes are reserved for a response, want %d", n, maxBufferedBytes)
+			}
+			if n, want := <-memory.changed, int64(len("/1ms/2")+len(s.body)); n != want {
+				t.Fatalf("%d bytes are reserved for a complete response, want %d", n, want)
+			}
+			if leaves {
+				_ = c.Close()
+			} else {
+				go func() { _, _ = io.Copy(io.Discard, c) }()
+			}
+			if n := <-memory.changed; n != 0 {
+				t.Errorf("%d bytes are reserved after the response", n)
+			}
+		})
+	}
+}
+
+// countedMemory is an unlimited Memory that sends the reserved bytes after each change.
+type countedMemory struct {
+	reserved atomic.Int64
+	changed  chan int64
+}
+
+func (m *countedMemory) TryAcquire(n int64) bool { m.changed <- m.reserved.Add(n); return true }
+func (m *countedMemory) Release(n int64)         { m.changed <- m.reserved.Add(-n) }
--- a/snipegate/responses.go
+++ b/snipegate/responses.go
@@ -155,6 +155,12 @@
 // concern only the connection to the target.
 func (q *request) forward(resp *snipeconn.Response) {
 	q.outcome, q.status = OutcomeAnswered, resp.Status
+	if resp.Stream == nil {
+		// The connection has ended the exchange, and no attempt follows. A caller that
+		// reads slowly must not keep the memory of its request.
+		q.body = nil
+		q.releaseBodyMemory()
+	}
 	h := q.w.Header()
 	for name, values := range resp.Header {
 		if !snipeconn.IsHopByHop(name) {
--- a/snipegate/support_test.go
+++ b/snipegate/support_test.go
@@ -94,7 +94,7 @@
 	limits := snipequota.New(snipefleet.Member{Name: "f"}, r.fleet, zap.NewNop())
 	r.gate = New(Dependencies{
 		HeaderCodec: testDialect{}, Tables: &tables, Fleet: r.fleet, Chooser: snipeplacement.New("f", snipefleet.Place{}, limits), Limits: limits,
-		Sender: r.sender, Clock: clock, Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(), BodyMemory: semaphore.NewWeighted(1 << 20),
+		Sender: r.sender, Clock: clock, Metrics: NewMetrics(prometheus.NewRegistry()), Log: zap.NewNop(), BodyMemory: semaphore.NewWeighted(1 << 20), ResponseMemory: semaphore.NewWeighted(1 << 20),
 		RetryBudget: func() sniperetry.BudgetSettings {
 			return sniperetry.BudgetSettings{Ratio: 1, MinimumPerSecond: 1, Cap: 10}
 		},
