snipeconn: the start of a streamed response is read first, its connection reused

A response above 256 KiB, or one without memory, was begun when its head had arrived: a target that broke off at once left a truncated response although nothing had reached the caller. Up to 16 KiB of the body are now read before, so that the attempt fails and a download is retried. The connection of a streamed response that was read to its defined end is reused; it was closed before, which cost a dial for each long response.

--- a/snipeconn/response.go
+++ b/snipeconn/response.go
@@ -15,7 +15,7 @@
 	Status int
 	// Header holds the header fields as received.
 	Header http.Header
-	// Body is the whole body, or an empty or leading part of it if Stream is set.
+	// Body is the whole body, or a leading part of it if Stream is set.
 	Body []byte
 	// Stream reads what follows Body if the response was not buffered completely,
 	// and is nil otherwise. It returns io.EOF only at the end of a complete
@@ -56,8 +56,8 @@
 // the one of this response.
 func (r *Response) EarlierRequests() int { return r.earlier }
 
-// Close releases the connection and the memory of the response. The connection
-// of a response that was not buffered completely is closed, not reused.
+// Close releases the connection and the memory of the response. The connection of a
+// response that was not read completely is closed, not reused.
 func (r *Response) Close() {
 	if r.finish != nil {
 		r.finish()
@@ -199,30 +199,35 @@
 		return out, nil
 	}
 	remaining := e.pools.settings.MaxBodyBytes - int64(len(out.Body))
-	out.Stream = &bodyStream{exchange: e, body: body, remaining: remaining}
+	stream := &bodyStream{exchange: e, body: body, remaining: remaining}
+	out.Stream = stream
 	out.finish = func() {
-		e.stopWatching()
-		e.conn.discard()
+		if stream.ended {
+			e.recycleConn(resp)
+		} else {
+			e.stopWatching()
+			e.conn.discard()
+		}
 		e.releaseMemory()
 	}
 	return out, nil
 }
 
-// bufferBody reads the body of a response into out.Body, up to
-// Settings.MaxBufferedBytes, and reports whether that is the whole body. It reads
-// nothing if the declared length is above that limit or there is no memory.
+// bufferBody reads the body of a response into out.Body if its declared length is within
+// Settings.MaxBufferedBytes and there is memory, or otherwise a leading part of it. It
+// reports whether that is the whole body.
 func (e *exchange) bufferBody(resp *http.Response, body io.Reader, out *Response) (complete bool, err error) {
 	limit := e.pools.settings.MaxBufferedBytes
 	n := resp.ContentLength
-	if n > limit {
-		n = 0
-	} else if n < 0 {
+	if n < 0 {
 		n = limit
 	}
-	if n == 0 || !e.reserveMemory(n) {
-		return resp.ContentLength == 0, nil
+	if n == 0 {
+		return true, nil
 	}
-	if resp.ContentLength >= 0 {
+	if n > limit || !e.reserveMemory(n) {
+		limit = min(limit, e.leadingBytes())
+	} else if resp.ContentLength >= 0 {
 		out.Body = make([]byte, n)
 		_, err = io.ReadFull(body, out.Body)
 		return true, err //nolint:wrapcheck // readBody adds the context
@@ -231,6 +236,24 @@
 	return int64(len(out.Body)) < limit, err //nolint:wrapcheck // readBody adds the context
 }
 
+const (
+	// maxLeadingBytes is the size of the leading part of a body that is streamed. It is
+	// read before the response is returned, so that a target that breaks off at once
+	// fails the exchange, which can then be repeated.
+	maxLeadingBytes = 16 << 10
+	// minLeadingBytes is its size without memory for more. It does not count in
+	// Settings.Memory, as the read buffer of a connection.
+	minLeadingBytes = readBufferBytes
+)
+
+// leadingBytes returns the size of the leading part of a body that is streamed.
+func (e *exchange) leadingBytes() int64 {
+	if e.reserveMemory(maxLeadingBytes) {
+		return maxLeadingBytes
+	}
+	return minLeadingBytes
+}
+
 // reserveMemory reserves n bytes of Settings.Memory, and reports false if fewer
 // are free.
 func (e *exchange) reserveMemory(n int64) bool {
@@ -259,6 +282,8 @@
 	body     io.Reader
 	// remaining is the number of bytes that the body may still have.
 	remaining int64
+	// ended is set when the end of a complete body has been read.
+	ended bool
 }
 
 // Read implements io.Reader.
@@ -269,6 +294,7 @@
 	case s.remaining < 0:
 		return 0, s.exchange.newError(true, fmt.Errorf("body after %d bytes: %w", s.exchange.pools.settings.MaxBodyBytes, errTooLong))
 	case err == nil || errors.Is(err, io.EOF):
+		s.ended = err != nil
 		return n, err //nolint:wrapcheck // io.EOF is compared
 	default:
 		return n, s.exchange.newError(true, fmt.Errorf("stream response body: %w", err))
