snipeconn: streamed responses are read ahead of slow callers

A target had to wait for a caller that reads slowly, and aborts a response that stays unread for some seconds. The connection to the target is free once the response has arrived.

--- a/snipeconn/response.go
+++ b/snipeconn/response.go
@@ -20,7 +20,7 @@
 	// Stream reads what follows Body if the response was not buffered completely,
 	// and is nil otherwise. It returns io.EOF only at the end of a complete
 	// response, and an *Error if the response breaks off or exceeds
-	// Settings.MaxBodyBytes.
+	// Settings.MaxBodyBytes. The body is read ahead of it while there is memory.
 	Stream io.Reader
 	// Length is the length of the whole body in bytes, or -1 if it is not known.
 	// For a response to HEAD it is the declared length.
@@ -57,7 +57,7 @@
 func (r *Response) EarlierRequests() int { return r.earlier }
 
 // Close releases the connection and the memory of the response. The connection of a
-// response that was not read completely is closed, not reused.
+// response that has not arrived completely is closed, not reused.
 func (r *Response) Close() {
 	if r.finish != nil {
 		r.finish()
@@ -199,15 +199,14 @@
 		return out, nil
 	}
 	remaining := e.pools.settings.MaxBodyBytes - int64(len(out.Body))
-	stream := &bodyStream{exchange: e, body: body, remaining: remaining}
-	out.Stream = stream
+	ahead := newReadAhead(&bodyStream{exchange: e, body: body, remaining: remaining},
+		e.pools.settings.Memory, func() { e.recycleConn(resp) })
+	out.Stream = ahead
 	out.finish = func() {
-		if stream.ended {
-			e.recycleConn(resp)
-		} else {
+		ahead.close(func() {
 			e.stopWatching()
 			e.conn.discard()
-		}
+		})
 		e.releaseMemory()
 	}
 	return out, nil
@@ -282,8 +281,6 @@
 	body     io.Reader
 	// remaining is the number of bytes that the body may still have.
 	remaining int64
-	// ended is set when the end of a complete body has been read.
-	ended bool
 }
 
 // Read implements io.Reader.
@@ -294,7 +291,6 @@
 	case s.remaining < 0:
 		return 0, s.exchange.newError(true, fmt.Errorf("body after %d bytes: %w", s.exchange.pools.settings.MaxBodyBytes, errTooLong))
 	case err == nil || errors.Is(err, io.EOF):
-		s.ended = err != nil
 		return n, err //nolint:wrapcheck // io.EOF is compared
 	default:
 		return n, s.exchange.newError(true, fmt.Errorf("stream response body: %w", err))
--- a/snipeconn/stream_test.go
+++ b/snipeconn/stream_test.go
@@ -17,7 +17,8 @@
 // TestStreamReuse guards against a dial for each long response: the connection of a
 // streamed response is reused if its defined end was read, and only then.
 func TestStreamReuse(t *testing.T) {
-	const size = 540_000
+	// More than is read ahead, so that a response that is not read does not end.
+	const size = 2 * maxReadAheadBytes
 	body := strings.Repeat("x", size)
 	chunks := fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", size, body)
 	length := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", size, body)
@@ -44,7 +45,8 @@
 					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+idHeader+": "+id+"\r\n"+tc.rest)
 				}
 			})
-			memory := semaphore.NewWeighted(1 << 20)
+			const budget = 2 * maxReadAheadBytes
+			memory := semaphore.NewWeighted(budget)
 			p := New(Settings{Memory: memory})
 			for i := range 2 {
 				resp, err := p.Send(context.Background(), newRequest(address, fmt.Sprint(i), 10*time.Second))
@@ -60,7 +62,7 @@
 			if opened, _ := p.Counts(); opened != tc.opened {
 				t.Errorf("opened %d connections, want %d", opened, tc.opened)
 			}
-			if !memory.TryAcquire(1 << 20) {
+			if !memory.TryAcquire(budget) {
 				t.Error("memory is not released")
 			}
 		})
