snipegate: a caller of HTTP/1.0 sees that a response is truncated

An abort closed the connection of the caller. To a caller of HTTP/1.0, which gets a body without a length or chunks, that is the ordinary end of a complete response. The connection is now reset. TestTruncatedForOldCaller fails without the reset and passes with it.

--- a/snipegate/download_test.go
+++ b/snipegate/download_test.go
@@ -10,8 +10,10 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 
+	"github.com/snipemoor/snipemoor/snipeconn"
 	"github.com/snipemoor/snipemoor/snipefleet"
 	"github.com/snipemoor/snipemoor/snipetable"
 )
@@ -62,3 +64,29 @@
 		})
 	}
 }
+
+// TestTruncatedForOldCaller guards against a truncated response that looks complete to a
+// caller of HTTP/1.0, which knows the end of a body without a length by the end of the
+// connection.
+func TestTruncatedForOldCaller(t *testing.T) {
+	for _, end := range []string{"", "\r\n0\r\n\r\n"} {
+		target := startTarget(t, func(c net.Conn, _ *bufio.Reader, _ *http.Request) {
+			const size = 0x60000
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\nSigned: 1\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n"+
+				"60000\r\n"+strings.Repeat("x", size)+end)
+		})
+		c, r := dialGate(t, snipetable.Download, nil)
+		r.fleet.UpdateTarget(r.gate.Clock.Now(), snipefleet.TargetReport{ID: "a", Service: "s", Address: target, Slots: 4, Born: 2})
+		r.gate.Sender = snipeconn.New(snipeconn.Settings{})
+		for _, id := range []string{"b", "c"} {
+			r.fleet.RemoveTarget(r.gate.Clock.Now(), id)
+		}
+		if _, err := io.WriteString(c, "GET / HTTP/1.0\r\nHost: h\r\nId: 1\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		text, err := io.ReadAll(c)
+		if !strings.HasPrefix(string(text), "HTTP/1.0 200") || (end == "") != errors.Is(err, syscall.ECONNRESET) {
+			t.Errorf("end %q: %.20q, error %v", end, text, err)
+		}
+	}
+}
--- a/snipegate/pipeline.go
+++ b/snipegate/pipeline.go
@@ -119,6 +119,7 @@
 	close(h.released)
 	<-h.done
 	if h.aborted {
+		markTruncated(r)
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/snipegate/responses.go
+++ b/snipegate/responses.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/snipemoor/snipemoor/snipecaller"
 	"github.com/snipemoor/snipemoor/snipeconn"
 	"github.com/snipemoor/snipemoor/snipefleet"
 	"github.com/snipemoor/snipemoor/snipeplacement"
@@ -187,5 +188,16 @@
 func (q *request) abort(err error) {
 	q.outcome, q.cause = OutcomeTruncated, err
 	q.gate.recordRequest(q)
+	if !q.startedEarly {
+		markTruncated(q.r)
+	}
 	panic(http.ErrAbortHandler)
 }
+
+// markTruncated makes the closing of the caller's connection show that a response is
+// truncated. To a caller of HTTP/1.1 the missing end of the body shows it.
+func markTruncated(r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) {
+		snipecaller.ResetOnClose(r)
+	}
+}
