--- a/snipeconn/earlyreset_test.go
+++ b/snipeconn/earlyreset_test.go
@@ -159,6 +159,7 @@
 		"closed after the upload":      {unframedHead + "part", -1, func(net.Conn) {}, true},
 		"length, half-closed":          {framedHead + "part", someBytes, halfClose, true},
 		"chunks, half-closed":          {chunkedHead + "4\r\npart\r\n0\r\n\r\n", someBytes, halfClose, true},
+		"length, reset":                {framedHead + "part", someBytes, reset, true},
 		"reset in the length":          {framedHead + "par", someBytes, reset, false},
 	}
 	for name, tc := range cases {
