snipeforward: a caller of HTTP/1.0 sees that a response is truncated

As in snipegate: the orderly end of the connection is the end of a complete response to such a caller, so that it is reset after a truncated one.

--- a/snipeforward/forwarder.go
+++ b/snipeforward/forwarder.go
@@ -160,6 +160,7 @@
 	observed := &meteredSink{sink: s, metrics: f.metrics, service: q.service, clock: f.deps.Clock, started: started}
 	f.serve(r.Context(), q, observed)
 	if s.aborted {
+		s.closeTruncated(r)
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/snipeforward/sink.go
+++ b/snipeforward/sink.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -93,6 +94,23 @@
 // Abort implements sink. The handler panics with http.ErrAbortHandler later.
 func (s *httpSink) Abort() { s.aborted = true }
 
+// closeTruncated resets the connection of a caller of HTTP/1.0, which would take its
+// orderly end for the end of a complete response.
+func (s *httpSink) closeTruncated(r *http.Request) {
+	if r.ProtoAtLeast(1, 1) {
+		return
+	}
+	conn, _, err := s.control.Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		// This fails only if the connection is closed already.
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // problem is the body of an application/problem+json response (RFC 9457).
 type problem struct {
 	Type   string `json:"type"`
