snipetarget: a complete response before a reset is not lost

A target that refuses or answers an upload early, with a length, and resets the connection made the write of the upload fail, and net/http then drops the response that has arrived: the attempt counted as one that may have begun, also if the target had refused it. The connection now returns the error of a write after its reader has come to the end, at most 1 s later.

A test makes its connections with the new constructor.

--- a/snipetarget/badresponse_test.go
+++ b/snipetarget/badresponse_test.go
@@ -130,3 +130,41 @@
 	_, err = io.Copy(io.Discard, resp.Body)
 	return err
 }
+
+// TestResponseBeforeReset guards against a complete response that is lost because the
+// write of the upload fails: a refusal that promises not to have run is one.
+func TestResponseBeforeReset(t *testing.T) {
+	const (
+		upload  = 600_000
+		repeats = 20
+	)
+	cases := map[string]struct {
+		response string
+		cause    Cause // of the failure, or empty
+	}{
+		"response": {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npart", ""},
+		"refusal":  {"HTTP/1.1 503 X\r\nSnipemoor-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", CauseShed},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			target := serveTarget(t, func(c net.Conn, r *bufio.Reader) {
+				_, _ = io.CopyN(io.Discard, r, 4<<10)
+				_, _ = io.WriteString(c, tc.response)
+				_ = c.(*net.TCPConn).SetLinger(0)
+			})
+			lost := 0
+			for range repeats {
+				pools := New(Settings{}, &net.Dialer{})
+				err := attemptUpload(t, pools, target, upload)
+				pools.Close()
+				var failure *Error
+				if errors.As(err, &failure) != (tc.cause != "") || failure != nil && failure.Cause != tc.cause {
+					lost++
+				}
+			}
+			if lost > 0 {
+				t.Errorf("%d of %d responses were lost", lost, repeats)
+			}
+		})
+	}
+}
--- a/snipetarget/conn.go
+++ b/snipetarget/conn.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/snipemoor/snipemoor/snipeconn"
 )
@@ -33,9 +34,21 @@
 	// the connection has been closed on this side.
 	ended, closed bool
 	once          sync.Once
+	// drained is closed when no further byte can be read.
+	drained     chan struct{}
+	drainedOnce sync.Once
 }
 
-// Write implements net.Conn. The bytes count as written before the system call,
+// maxDrain is how long a write that failed waits until the reader has read what the target
+// sent before, which is there already.
+const maxDrain = time.Second
+
+func newTrackedConn(c net.Conn, release func()) *trackedConn {
+	return &trackedConn{Conn: c, release: release, drained: make(chan struct{})}
+}
+
+// Write implements net.Conn. net/http drops a response that has arrived when a write
+// fails, so the error is returned after the reader has come to the end. The bytes count as written before the system call,
 // so that a concurrent seal cannot miss them.
 func (c *trackedConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
@@ -50,9 +63,22 @@
 	c.mu.Unlock()
 	n, err := c.Conn.Write(p)
 	c.recordWrite(err)
+	if err != nil {
+		c.awaitDrained()
+	}
 	return n, err //nolint:wrapcheck // net/http inspects errors of the connection
 }
 
+// awaitDrained waits until no further byte can be read, for at most maxDrain.
+func (c *trackedConn) awaitDrained() {
+	timer := time.NewTimer(maxDrain)
+	defer timer.Stop()
+	select {
+	case <-c.drained:
+	case <-timer.C:
+	}
+}
+
 // recordWrite records the result of a write. If a read returned the end in the meantime,
 // the state of the connection shows whether the write was received before.
 func (c *trackedConn) recordWrite(err error) {
@@ -99,6 +125,9 @@
 // response, so that mayRefuse is set before the next request gets the connection.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if err != nil {
+		c.drainedOnce.Do(func() { close(c.drained) })
+	}
 	if errors.Is(err, io.EOF) {
 		c.recordEnd()
 	}
@@ -134,6 +163,7 @@
 // Close implements net.Conn.
 func (c *trackedConn) Close() error {
 	c.recordClose()
+	c.drainedOnce.Do(func() { close(c.drained) })
 	err := c.Conn.Close()
 	c.once.Do(c.release)
 	return err //nolint:wrapcheck // net/http inspects errors of the connection
--- a/snipetarget/pool.go
+++ b/snipetarget/pool.go
@@ -215,7 +215,7 @@
 		release()
 		return nil, fmt.Errorf("dial: %w", err)
 	}
-	return &trackedConn{Conn: conn, release: release}, nil
+	return newTrackedConn(conn, release), nil
 }
 
 // acquire returns the transport for one attempt, which must release it.
--- a/snipetarget/repeatedshed_test.go
+++ b/snipetarget/repeatedshed_test.go
@@ -18,7 +18,7 @@
 // RoundTrip implements http.RoundTripper.
 func (r repeatingTransport) RoundTrip(req *http.Request) (*http.Response, error) {
 	for _, text := range r.written {
-		conn := &trackedConn{Conn: &discardingConn{}, release: func() {}}
+		conn := newTrackedConn(&discardingConn{}, func() {})
 		httptrace.ContextClientTrace(req.Context()).GotConn(httptrace.GotConnInfo{Conn: conn})
 		// An error means that the connection is sealed.
 		_, _ = conn.Write([]byte(text))
