snipegate: a connection does not keep the responses that it has delivered

The wait for the caller to disconnect, which returns the memory of a response that was not delivered, was registered at the context of the connection for each pipelined request and stayed there until the connection ended. It is stopped on delivery, and not begun after it. TestDeliveredResponseIsFree checks that it is stopped.

--- a/snipegate/pipeline.go
+++ b/snipegate/pipeline.go
@@ -70,6 +70,8 @@
 	deadline time.Time
 	// reserved is the part of the memory for responses that body may use, in bytes.
 	reserved int
+	// stopWatching ends the wait for the caller to disconnect; nil if there is none.
+	stopWatching func() bool
 }
 
 // run handles the request. It leaves the memory of the buffered bytes reserved until they
@@ -77,9 +79,13 @@
 func (h *bufferedResponse) run(q *request) {
 	h.handle(q)
 	h.mu.Lock()
+	defer h.mu.Unlock()
 	h.keepReserved(h.body.Len())
-	h.mu.Unlock()
-	context.AfterFunc(h.request.Context(), func() {
+	if h.w != nil {
+		return
+	}
+	// The context lasts as long as the connection, so release stops the function.
+	h.stopWatching = context.AfterFunc(h.request.Context(), func() {
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		h.keepReserved(0)
@@ -131,6 +137,9 @@
 	defer h.mu.Unlock()
 	h.w = w
 	defer h.keepReserved(0)
+	if h.stopWatching != nil {
+		h.stopWatching()
+	}
 	if !h.deadline.IsZero() {
 		// This fails only on a closed connection, on which the next write fails too.
 		_ = http.NewResponseController(w).SetWriteDeadline(h.deadline)
--- a/snipegate/pipeline_test.go
+++ b/snipegate/pipeline_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -272,3 +273,31 @@
 
 func (m *countedMemory) TryAcquire(n int64) bool { m.changed <- m.reserved.Add(n); return true }
 func (m *countedMemory) Release(n int64)         { m.changed <- m.reserved.Add(-n) }
+
+// TestDeliveredResponseIsFree guards against responses that their connection keeps after
+// they were delivered: it may carry any number of pipelined requests.
+func TestDeliveredResponseIsFree(t *testing.T) {
+	r := newTestGate(t, snipetable.Idempotent, successResult("x"))
+	req := httptest.NewRequest(http.MethodGet, "/", nil)
+	ctx, cancel := context.WithCancel(req.Context())
+	defer cancel()
+	req = req.WithContext(ctx)
+	req.Host = "h"
+	req.Header.Set("Id", "1")
+	h, ok := r.gate.ServePipelined(req, time.Now()).(*bufferedResponse)
+	if !ok {
+		t.Fatal("the request was not sent early")
+	}
+	<-h.done
+	// run has set stopWatching once it has returned the unused memory.
+	for waiting := true; waiting; {
+		h.mu.Lock()
+		waiting = h.stopWatching == nil
+		h.mu.Unlock()
+		runtime.Gosched()
+	}
+	h.ServeHTTP(httptest.NewRecorder(), req)
+	if h.stopWatching() {
+		t.Error("the connection keeps a response that was delivered")
+	}
+}
