--- a/snipeconn/response.go
+++ b/snipeconn/response.go
@@ -11,16 +11,16 @@
 
 // Response is the response of a target to one request. Close must be called.
 type Response struct {
-	// Status is the HTTP status code, 200 or above.
+	// Status is the HTTP status code, from 200 to 599.
 	Status int
 	// Header holds the header fields as received.
 	Header http.Header
-	// Body is the whole body, or an empty or leading part of it if Stream is set.
+	// Body is the whole body, or a leading part of it if Stream is set.
 	Body []byte
 	// Stream reads what follows Body if the response was not buffered completely,
 	// and is nil otherwise. It returns io.EOF only at the end of a complete
 	// response, and an *Error if the response breaks off or exceeds
-	// Settings.MaxBodyBytes.
+	// Settings.MaxBodyBytes. The body is read ahead of it while there is memory.
 	Stream io.Reader
 	// Length is the length of the whole body in bytes, or -1 if it is not known.
 	// For a response to HEAD it is the declared length.
@@ -56,8 +56,8 @@
 // the one of this response.
 func (r *Response) EarlierRequests() int { return r.earlier }
 
-// Close releases the connection and the memory of the response. The connection
-// of a response that was not buffered completely is closed, not reused.
+// Close releases the connection and the memory of the response. The connection of a
+// response that has not arrived completely is closed, not reused.
 func (r *Response) Close() {
 	if r.finish != nil {
 		r.finish()
@@ -115,6 +115,9 @@
 		if err != nil {
 			return nil, fmt.Errorf("read response: %w", err)
 		}
+		if err := CheckStatus(resp); err != nil {
+			return nil, err
+		}
 		if resp.StatusCode == http.StatusSwitchingProtocols {
 			return nil, errSwitching
 		}
@@ -181,7 +184,11 @@
 	if resp.ContentLength > e.pools.settings.MaxBodyBytes {
 		return nil, fmt.Errorf("body of %d bytes: %w", resp.ContentLength, errTooLong)
 	}
-	complete, err := e.bufferBody(resp, out)
+	body := io.Reader(resp.Body)
+	if EndsWithConn(resp) {
+		body = &unframedBody{body: resp.Body, exchange: e}
+	}
+	complete, err := e.bufferBody(resp, body, out)
 	if err != nil {
 		return nil, fmt.Errorf("read response body: %w", err)
 	}
@@ -192,38 +199,60 @@
 		return out, nil
 	}
 	remaining := e.pools.settings.MaxBodyBytes - int64(len(out.Body))
-	out.Stream = &bodyStream{exchange: e, body: resp.Body, remaining: remaining}
+	ahead := newReadAhead(&bodyStream{exchange: e, body: body, remaining: remaining},
+		e.pools.settings.Memory, func() { e.recycleConn(resp) })
+	out.Stream = ahead
 	out.finish = func() {
-		e.stopWatching()
-		e.conn.discard()
+		ahead.close(func() {
+			e.stopWatching()
+			e.conn.discard()
+		})
 		e.releaseMemory()
 	}
 	return out, nil
 }
 
-// bufferBody reads the body of a response into out.Body, up to
-// Settings.MaxBufferedBytes, and reports whether that is the whole body. It reads
-// nothing if the declared length is above that limit or there is no memory.
-func (e *exchange) bufferBody(resp *http.Response, out *Response) (complete bool, err error) {
+// bufferBody reads the body of a response into out.Body if its declared length is within
+// Settings.MaxBufferedBytes and there is memory, or otherwise a leading part of it. It
+// reports whether that is the whole body.
+func (e *exchange) bufferBody(resp *http.Response, body io.Reader, out *Response) (complete bool, err error) {
 	limit := e.pools.settings.MaxBufferedBytes
 	n := resp.ContentLength
-	if n > limit {
-		n = 0
-	} else if n < 0 {
+	if n < 0 {
 		n = limit
 	}
-	if n == 0 || !e.reserveMemory(n) {
-		return resp.ContentLength == 0, nil
+	if n == 0 {
+		return true, nil
 	}
-	if resp.ContentLength >= 0 {
+	if n > limit || !e.reserveMemory(n) {
+		limit = min(limit, e.leadingBytes())
+	} else if resp.ContentLength >= 0 {
 		out.Body = make([]byte, n)
-		_, err = io.ReadFull(resp.Body, out.Body)
+		_, err = io.ReadFull(body, out.Body)
 		return true, err //nolint:wrapcheck // readBody adds the context
 	}
-	out.Body, err = io.ReadAll(io.LimitReader(resp.Body, limit))
+	out.Body, err = io.ReadAll(io.LimitReader(body, limit))
 	return int64(len(out.Body)) < limit, err //nolint:wrapcheck // readBody adds the context
 }
 
+const (
+	// maxLeadingBytes is the size of the leading part of a body that is streamed. It is
+	// read before the response is returned, so that a target that breaks off at once
+	// fails the exchange, which can then be repeated.
+	maxLeadingBytes = 16 << 10
+	// minLeadingBytes is its size without memory for more. It does not count in
+	// Settings.Memory, as the read buffer of a connection.
+	minLeadingBytes = readBufferBytes
+)
+
+// leadingBytes returns the size of the leading part of a body that is streamed.
+func (e *exchange) leadingBytes() int64 {
+	if e.reserveMemory(maxLeadingBytes) {
+		return maxLeadingBytes
+	}
+	return minLeadingBytes
+}
+
 // reserveMemory reserves n bytes of Settings.Memory, and reports false if fewer
 // are free.
 func (e *exchange) reserveMemory(n int64) bool {
