--- a/snipegate/slowcallers_test.go
+++ b/snipegate/slowcallers_test.go
@@ -108,13 +108,15 @@
 	pools := snipeconn.New(snipeconn.Settings{Memory: responses})
 	t.Cleanup(func() { pools.CloseExpired(time.Now(), func(string) bool { return false }) })
 	r.gate.Sender = pools
-	table, err := snipetable.New(3, []snipetable.Route{{
-		Name: "r", Host: "h", Prefix: "/", Kind: snipetable.Download, Timeout: timeout, MaxAttempts: 2,
-		Backends: []snipetable.Backend{{Service: "s", Weight: 1}},
-	}}, []snipetable.Service{{Name: "s"}}, snipetable.Limits{BodyBytes: 1 << 20})
-	if err != nil {
-		t.Fatal(err)
-	}
+	table := snipetable.New(snipetable.Content{
+		Version: 3,
+		Routes: []snipetable.Route{{
+			Name: "r", Host: "h", Prefix: "/", Kind: snipetable.Download, Timeout: timeout, MaxAttempts: 2,
+			Backends: []snipetable.Backend{{Service: "s", Weight: 1}},
+		}},
+		Services: []snipetable.Service{{Name: "s"}},
+		Limits:   snipetable.Limits{BodyBytes: 1 << 20},
+	})
 	r.gate.Tables.UpdateIfNewer(table)
 	r.fleet.UpdateTarget(r.gate.Clock.Now(), snipefleet.TargetReport{ID: "t", Service: "s", Address: address, Slots: 2 * slow, Born: 2})
 	l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
