--- a/snipefeed/limits.go
+++ b/snipefeed/limits.go
@@ -44,11 +44,12 @@
 	ApplyLimitReports(sent, now snipetime.Instant, peer string, reports []LimitReport)
 }
 
-// ServeLimitNotices registers a handler of the limits that fronts of other groups
-// send. It must be called before the node is started.
-func ServeLimitNotices(node *snipepeer.Node, limits LimitExchange, clock Clock) {
+// ServeLimitNotices registers a handler of the limits and the usage of quotas that other
+// watchers send. It must be called before the node is started.
+func ServeLimitNotices(node *snipepeer.Node, limits LimitExchange, tenants TenantExchange, clock Clock) {
 	snipepeer.HandleMessage(node, func(from snipepeer.Peer, m *snipewire.LimitNotice) {
 		limits.MergeLimitReports(clock.Now(), from.Address, decodeLimits(m.GetLimits()))
+		tenants.MergeTenantNotice(clock.Now(), senderOf(from), int(m.GetFronts()), decodeTenants(m.GetTenants()))
 	})
 }
 
@@ -62,6 +63,17 @@
 	}
 }
 
+// SendTenantNotice sends the usage of quotas at the fronts that ask this one, and their
+// number, to the fronts with the given peer addresses, without waiting. One that has no
+// session gets none.
+func SendTenantNotice(node *snipepeer.Node, peers []string, fronts int, usage []TenantUsage) {
+	m := &snipewire.LimitNotice{Fronts: uint32(fronts), Tenants: encodeTenants(usage)}
+	for _, peer := range peers {
+		// The counters are cumulative and sent again, and the node counts what it drops.
+		_ = node.Send(peer, m)
+	}
+}
+
 func encodeLimits(reports []LimitReport) []*snipewire.TargetLimit {
 	out := make([]*snipewire.TargetLimit, len(reports))
 	for i := range reports {
--- a/snipefeed/peer.go
+++ b/snipefeed/peer.go
@@ -44,12 +44,13 @@
 }
 
 // Serve registers a handler that answers the requests of other fronts from a log
-// and exchanges loads and limits with them. It must be called before the node is
+// and exchanges loads, limits and the usage of quotas with them. It must be called before the node is
 // started.
-func Serve(node *snipepeer.Node, l *Log, loads LoadExchange, limits LimitExchange, clock Clock) {
+func Serve(node *snipepeer.Node, l *Log, loads LoadExchange, limits LimitExchange, tenants TenantExchange, clock Clock) {
 	snipepeer.HandleCall(node, func(ctx context.Context, from snipepeer.Peer, req *snipewire.ItemsRequest) (*snipewire.ItemsReply, error) {
 		loads.MergeLoads(clock.Now(), decodeLoads(req.GetLoads()))
 		limits.MergeLimitReports(clock.Now(), from.Address, decodeLimits(req.GetLimits()))
+		tenants.MergeTenants(clock.Now(), senderOf(from), decodeTenants(req.GetTenants()))
 		b, err := readLog(ctx, l, clock, req)
 		if errors.Is(err, ErrHistoryLost) || errors.Is(err, ErrEpochEnded) {
 			return &snipewire.ItemsReply{HistoryLost: true, Epoch: uint64(l.Position().Epoch)}, nil
@@ -61,6 +62,7 @@
 		age := time.Duration(req.GetLoadsAgeMillis()) * time.Millisecond
 		reply.Loads = encodeLoads(loads.RecentLoads(clock.Now(), age))
 		reply.Limits = encodeLimits(limits.AnswerLimitReports(clock.Now(), from.Address, time.Duration(req.GetLimitsAgeMillis())*time.Millisecond))
+		reply.Tenants = encodeTenants(tenants.TenantLevels(clock.Now()))
 		return reply, nil
 	})
 }
@@ -122,18 +124,19 @@
 // PeerSources returns the logs of other fronts as sources. It and its sources
 // are not safe for concurrent use.
 type PeerSources struct {
-	node   *snipepeer.Node
-	loads  LoadExchange
-	limits LimitExchange
-	clock  Clock
+	node    *snipepeer.Node
+	loads   LoadExchange
+	limits  LimitExchange
+	tenants TenantExchange
+	clock   Clock
 	// lastWatch is when the last successful Watch began. The next one sends the
 	// loads and limits that were reported since.
 	lastWatch snipetime.Instant
 }
 
 // NewPeerSources returns sources that call other fronts over the sessions of node.
-func NewPeerSources(node *snipepeer.Node, loads LoadExchange, limits LimitExchange, clock Clock) *PeerSources {
-	return &PeerSources{node: node, loads: loads, limits: limits, clock: clock}
+func NewPeerSources(node *snipepeer.Node, loads LoadExchange, limits LimitExchange, tenants TenantExchange, clock Clock) *PeerSources {
+	return &PeerSources{node: node, loads: loads, limits: limits, tenants: tenants, clock: clock}
 }
 
 // Source returns the log of the front with the given peer address as a source.
@@ -162,6 +165,7 @@
 		AfterEpoch: uint64(after.Epoch), After: uint64(after.Revision), WaitMillis: uint32(wait.Milliseconds()),
 		Loads: encodeLoads(p.peers.loads.RecentLoads(now, age)), LoadsAgeMillis: uint32((age + wait).Milliseconds()),
 		Limits: encodeLimits(p.peers.limits.LimitReports(now, age)), LimitsAgeMillis: p.peers.limitsAge(now, wait),
+		Tenants: encodeTenants(p.peers.tenants.ReportTenants(now, p.address)),
 	})
 	if err == nil {
 		p.peers.lastWatch = now
@@ -178,7 +182,7 @@
 	return uint32((now.Sub(p.lastWatch) + wait).Milliseconds())
 }
 
-// call sends a request to the other front and merges the loads and limits of its reply.
+// call sends a request to the other front and merges the loads, limits and levels of its reply.
 func (p *peerSource) call(ctx context.Context, req *snipewire.ItemsRequest) (Batch, error) {
 	sent := p.peers.clock.Now()
 	reply, err := snipepeer.Call[*snipewire.ItemsReply](ctx, p.peers.node, p.address, req)
@@ -199,5 +203,6 @@
 	now := p.peers.clock.Now()
 	p.peers.loads.MergeLoads(now, decodeLoads(reply.GetLoads()))
 	p.peers.limits.ApplyLimitReports(sent, now, p.address, decodeLimits(reply.GetLimits()))
+	p.peers.tenants.ApplyTenantLevels(sent, now, p.address, decodeTenants(req.GetTenants()), decodeTenants(reply.GetTenants()))
 	return decodeBatch(reply), nil
 }
--- a/snipefeed/peer_test.go
+++ b/snipefeed/peer_test.go
@@ -89,14 +89,14 @@
 	answered := LimitReport{Target: "b", Service: "s", Born: 8, Age: time.Second}
 	serverLimits := &fakeLimits{answer: []LimitReport{answered}}
 	clock := snipetime.NewManual(0)
-	Serve(server, items, &fakeLoads{}, serverLimits, clock)
+	Serve(server, items, &fakeLoads{}, serverLimits, &fakeTenants{}, clock)
 	server.Start()
 	client, clientAddress := newNode(t, "client")
 	clientLimits := &fakeLimits{sent: []LimitReport{asked}}
 	noticed := &fakeLimits{arrived: make(chan struct{})}
-	ServeLimitNotices(client, noticed, clock)
+	ServeLimitNotices(client, noticed, &fakeTenants{}, clock)
 	client.Start()
-	if _, err := NewPeerSources(client, &fakeLoads{}, clientLimits, clock).Source(address).Watch(context.Background(), Position{Revision: 1}, 0); err != nil {
+	if _, err := NewPeerSources(client, &fakeLoads{}, clientLimits, &fakeTenants{}, clock).Source(address).Watch(context.Background(), Position{Revision: 1}, 0); err != nil {
 		t.Fatal(err)
 	}
 	if !slices.Equal(serverLimits.received, []LimitReport{asked}) || serverLimits.receivedFrom != clientAddress {
@@ -119,11 +119,11 @@
 	t.Cleanup(clock.Close)
 	server, address := newNode(t, "server")
 	items := NewLog()
-	Serve(server, items, &fakeLoads{}, &fakeLimits{}, clock)
+	Serve(server, items, &fakeLoads{}, &fakeLimits{}, &fakeTenants{}, clock)
 	server.Start()
 	client, _ := newNode(t, "client")
 	client.Start()
-	source := NewPeerSources(client, &fakeLoads{}, &fakeLimits{}, snipetime.NewManual(0)).Source(address)
+	source := NewPeerSources(client, &fakeLoads{}, &fakeLimits{}, &fakeTenants{}, snipetime.NewManual(0)).Source(address)
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 
@@ -161,11 +161,11 @@
 	t.Cleanup(clock.Close)
 	server, address := newNode(t, "server")
 	items := NewLog()
-	Serve(server, items, &fakeLoads{}, &fakeLimits{}, clock)
+	Serve(server, items, &fakeLoads{}, &fakeLimits{}, &fakeTenants{}, clock)
 	server.Start()
 	client, _ := newNode(t, "client")
 	client.Start()
-	source := NewPeerSources(client, &fakeLoads{}, &fakeLimits{}, snipetime.NewManual(0)).Source(address)
+	source := NewPeerSources(client, &fakeLoads{}, &fakeLimits{}, &fakeTenants{}, snipetime.NewManual(0)).Source(address)
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 
@@ -196,11 +196,11 @@
 	server, address := newNode(t, "server")
 	items := NewLog()
 	items.Replace(0, Batch{Position: Position{Revision: 1}})
-	Serve(server, items, &fakeLoads{}, &fakeLimits{}, snipetime.NewManual(0))
+	Serve(server, items, &fakeLoads{}, &fakeLimits{}, &fakeTenants{}, snipetime.NewManual(0))
 	server.Start()
 	client, _ := newNode(t, "client")
 	client.Start()
-	source := NewPeerSources(client, &fakeLoads{}, &fakeLimits{}, snipetime.NewManual(0)).Source(address)
+	source := NewPeerSources(client, &fakeLoads{}, &fakeLimits{}, &fakeTenants{}, snipetime.NewManual(0)).Source(address)
 	if _, err := source.List(context.Background()); err != nil {
 		t.Fatal(err)
 	}
@@ -225,12 +225,12 @@
 	items := NewLog()
 	items.Replace(0, Batch{Position: Position{Revision: 1}})
 	serverLoads := &fakeLoads{loads: []Load{{Target: "a", Requests: 3, Age: 20 * time.Millisecond}}}
-	Serve(server, items, serverLoads, &fakeLimits{}, snipetime.NewManual(0))
+	Serve(server, items, serverLoads, &fakeLimits{}, &fakeTenants{}, snipetime.NewManual(0))
 	server.Start()
 	client, _ := newNode(t, "client")
 	client.Start()
 	clientLoads := &fakeLoads{loads: []Load{{Target: "b", Requests: 5}}}
-	source := NewPeerSources(client, clientLoads, &fakeLimits{}, snipetime.NewManual(0)).Source(address)
+	source := NewPeerSources(client, clientLoads, &fakeLimits{}, &fakeTenants{}, snipetime.NewManual(0)).Source(address)
 	if _, err := source.Watch(context.Background(), Position{Revision: 1}, 0); err != nil {
 		t.Fatal(err)
 	}
--- a/snipetable/table.go
+++ b/snipetable/table.go
@@ -140,6 +140,7 @@
 	routes   map[string][]*Route
 	services map[string]*Service
 	limits   Limits
+	tenants  map[string]*Tenant
 }
 
 // ErrInvalid is wrapped by the errors of New.
@@ -212,6 +213,9 @@
 // Service returns the service with the given name, or nil if there is none.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// Tenant returns the tenant with a name, or nil if there is none.
+func (t *Table) Tenant(name string) *Tenant { return t.tenants[name] }
+
 // HasHost reports whether there is a route for host.
 func (t *Table) HasHost(host string) bool { return len(t.routes[host]) > 0 }
 
