snipequota: quotas of tenants over all fronts

TenantQuotas implements snipegate.Quotas. Each front admits requests from a token bucket of its own; watchers keep the level of one bucket over all fronts and the total demand, and the fronts derive their shares from these.

--- a/snipequota/doc.go
+++ b/snipequota/doc.go
@@ -22,5 +22,9 @@
 // they send single requests after a long pause.
 //
 // Nothing is sent, and nothing is kept for a target, while no target states a limit.
+// TenantQuotas enforces the quotas of tenants over all fronts. Each front admits requests
+// from a token bucket of its own. The watchers keep the level of one bucket for all fronts
+// and their total demand, from which the fronts derive their shares.
+//
 // The package performs no I/O and reads no clock; callers pass the time.
 package snipequota
--- /dev/null
+++ b/snipequota/tenantlevel.go
@@ -0,0 +1,399 @@
+package snipequota
+
+import (
+	"math"
+	"time"
+
+	"github.com/snipemoor/snipemoor/snipefeed"
+	"github.com/snipemoor/snipemoor/snipefleet"
+	"github.com/snipemoor/snipemoor/snipetable"
+	"github.com/snipemoor/snipemoor/snipetime"
+)
+
+const (
+	// silenceTime is the time without a report after which a front is not heard, and its
+	// equal part of each quota is subtracted.
+	silenceTime = 2 * time.Second
+	// noticeSilenceTime is the same for the notices of another watcher, which come every
+	// 250 ms. Until then, a watcher that is cut off admits as if the others were idle.
+	noticeSilenceTime = 750 * time.Millisecond
+	// departureTime is how long a front that has left the membership may still admit
+	// its equal part.
+	departureTime = 15 * time.Second
+	// usageRetention is how long the counter of a sender is kept without a report.
+	usageRetention = 4 * time.Second
+	// listenTime is the time for which a new watcher only listens.
+	listenTime = 750 * time.Millisecond
+	// learnTime is the time after which a watcher knows the level of a tenant that no
+	// other watcher names: the burst.
+	learnTime = 5 * time.Second
+	// startShare is the fraction of the burst at which the level begins before that, and
+	// that all fronts together begin with. With more, a tenant that jumps 2 s before all
+	// fronts restart, which forget its overshoot, runs more requests than the bound.
+	startShare = 0.1
+	// activeRetention is the time after the last report about a tenant for which notices
+	// are sent.
+	activeRetention = time.Minute
+	// nearShare is the fraction of the burst below which, and that of the rate above
+	// which a tenant is near its quota, by its level and its demand.
+	nearShare = 0.75
+)
+
+// watchState is what a watcher knows.
+type watchState struct {
+	membership membership
+	// departed holds the fronts that have left the membership, and when.
+	departed map[string]snipetime.Instant
+	// heard holds when a front last asked this one, by its address.
+	heard map[string]snipetime.Instant
+	// watchers holds the last notices of other watchers, by their addresses.
+	watchers map[string]watcherNotice
+	// buckets holds the tenants that are in use, by name.
+	buckets map[string]*bucket
+	// activeSince and activeAt are when reports began, and when one last came.
+	activeSince, activeAt snipetime.Instant
+}
+
+// watcherNotice is the number of fronts that ask another watcher.
+type watcherNotice struct {
+	fronts int
+	at     snipetime.Instant
+}
+
+// bucket is the token bucket of a tenant over all fronts.
+type bucket struct {
+	level float64
+	at    snipetime.Instant
+	// counted counts the admissions of the fronts that ask this watcher.
+	counted float64
+	series  uint64
+	usage   map[snipefeed.Sender]*usage
+}
+
+// usage is what a front, or another watcher, last reported about a tenant.
+type usage struct {
+	counter, demand float64
+	at              snipetime.Instant
+	// own is set for a front that asks this watcher.
+	own bool
+	// silent is set if the sender has not reported lately. assumed are the
+	// admissions that were subtracted for that time.
+	silent  bool
+	assumed float64
+}
+
+// heard reports whether the sender reported lately.
+func (u *usage) heard(now snipetime.Instant) bool {
+	if u.own {
+		return now.Sub(u.at) <= silenceTime
+	}
+	return now.Sub(u.at) <= noticeSilenceTime
+}
+
+func newWatchState() watchState {
+	return watchState{
+		departed: make(map[string]snipetime.Instant), heard: make(map[string]snipetime.Instant),
+		watchers: make(map[string]watcherNotice), buckets: make(map[string]*bucket),
+		activeSince: math.MinInt64, activeAt: math.MinInt64,
+	}
+}
+
+// restart forgets what an earlier time as a watcher left.
+func (w *watchState) restart() {
+	clear(w.heard)
+	clear(w.watchers)
+	clear(w.buckets)
+	w.activeAt = math.MinInt64
+}
+
+// noteDepartures records the fronts that are not among the new members.
+func (w *watchState) noteDepartures(now snipetime.Instant, members []snipefleet.Member) {
+	present := make(map[string]bool, len(members))
+	for i := range members {
+		present[members[i].Name] = true
+		delete(w.departed, members[i].Name)
+	}
+	for i := range w.membership.members {
+		if name := w.membership.members[i].Name; !present[name] {
+			w.departed[name] = now
+		}
+	}
+}
+
+// forget removes what is no longer of use.
+func (w *watchState) forget(now snipetime.Instant) {
+	for name, at := range w.departed {
+		if now.Sub(at) > departureTime {
+			delete(w.departed, name)
+		}
+	}
+	for address, at := range w.heard {
+		if now.Sub(at) > silenceTime {
+			delete(w.heard, address)
+		}
+	}
+	for address, n := range w.watchers {
+		if now.Sub(n.at) > noticeSilenceTime {
+			delete(w.watchers, address)
+		}
+	}
+}
+
+// endReports subtracts what senders are assumed to have admitted before they were known to
+// be silent, and removes those that have been silent for long. Without the subtraction,
+// both parts of a divided network would use the whole rate in that time.
+func (b *bucket) endReports(now snipetime.Instant, perSecond float64) {
+	total := 0.0
+	for _, u := range b.usage {
+		total += u.demand
+	}
+	for from, u := range b.usage {
+		silence := now.Sub(u.at)
+		if !u.heard(now) && silence <= usageRetention && !u.silent {
+			u.silent = true
+			admitted := min(u.demand, perSecond*u.demand/max(total, 1)) * min(silence, silenceTime).Seconds()
+			u.assumed = min(admitted, max(b.level, 0))
+			b.charge(u.assumed, u.own)
+		}
+		if silence > usageRetention {
+			delete(b.usage, from)
+		}
+	}
+}
+
+// charge subtracts admissions from the level.
+func (b *bucket) charge(admitted float64, own bool) {
+	b.level -= admitted
+	if own {
+		b.counted += admitted
+	}
+}
+
+// ownFronts returns the number of fronts that ask this watcher, itself included.
+func (w *watchState) ownFronts(now snipetime.Instant) int {
+	n := 0
+	for _, at := range w.heard {
+		if now.Sub(at) <= silenceTime {
+			n++
+		}
+	}
+	return max(n, 1)
+}
+
+// unheard returns the number of fronts that may admit their equal part unheard.
+func (q *TenantQuotas) unheard(now snipetime.Instant) float64 {
+	w := &q.watch
+	if now.Sub(max(w.activeSince, w.membership.watchesSince)) < silenceTime {
+		return 0
+	}
+	heard := w.ownFronts(now)
+	for _, n := range w.watchers {
+		if now.Sub(n.at) <= noticeSilenceTime {
+			heard += n.fronts
+		}
+	}
+	return math.Max(q.numFronts()+float64(len(w.departed))-float64(heard), 0)
+}
+
+// reserved returns the part of a quota, in requests per second, that fronts use which no
+// watcher hears.
+func (q *TenantQuotas) reserved(now snipetime.Instant, quota snipetable.Quota) float64 {
+	return min(quota.PerSecond*q.unheard(now)/q.numFronts(), quota.PerSecond)
+}
+
+// noteActive records that a tenant with a quota is in use.
+func (w *watchState) noteActive(now snipetime.Instant) {
+	if w.activeAt == math.MinInt64 || now.Sub(w.activeAt) > activeRetention {
+		w.activeSince = now
+	}
+	w.activeAt = now
+}
+
+// active reports whether notices are to be sent.
+func (w *watchState) active(now snipetime.Instant) bool {
+	return w.activeAt != math.MinInt64 && now.Sub(w.activeAt) <= activeRetention
+}
+
+// established reports whether this watcher knows the levels.
+func (q *TenantQuotas) established(now snipetime.Instant) bool {
+	return now.Sub(q.watch.membership.watchesSince) >= learnTime
+}
+
+// refillBucket adds the tokens since the last update. Changes of the quota apply to the
+// time since then.
+func (q *TenantQuotas) refillBucket(now snipetime.Instant, name string, b *bucket) {
+	quota, limited := q.limitOf(name)
+	if !limited {
+		delete(q.watch.buckets, name)
+		return
+	}
+	perSecond := quota.PerSecond - q.reserved(now, quota)
+	b.level = min(b.level+perSecond*max(now.Sub(b.at).Seconds(), 0), quota.Burst)
+	b.at = max(b.at, now)
+	if len(b.usage) == 0 && b.level >= quota.Burst {
+		delete(q.watch.buckets, name)
+	}
+}
+
+// bucketOf returns the bucket of a tenant, or nil if it has no quota.
+func (q *TenantQuotas) bucketOf(now snipetime.Instant, name string) *bucket {
+	quota, limited := q.limitOf(name)
+	if !limited {
+		return nil
+	}
+	if b := q.watch.buckets[name]; b != nil {
+		q.refillBucket(now, name, b)
+		q.watch.buckets[name] = b
+		return b
+	}
+	level := quota.Burst
+	if !q.established(now) {
+		level *= startShare
+	}
+	b := &bucket{level: level, at: now, series: nextSeries(now, 0), usage: make(map[snipefeed.Sender]*usage)}
+	q.watch.buckets[name] = b
+	return b
+}
+
+// available returns the level for the fronts that a watcher hears. The others may use the
+// part unheard, from 0 to 1, of the rate and of the level. Fronts admit requests at the
+// rate plus what the level adds, so that the reserve of a second is subtracted.
+func (b *bucket) available(unheard float64, quota snipetable.Quota) float64 {
+	level := b.level
+	if level > 0 {
+		level *= 1 - unheard
+	}
+	return level - unheard*quota.PerSecond*levelTime.Seconds()
+}
+
+// counter returns the counter for other watchers.
+func (b *bucket) counter(now snipetime.Instant) float64 {
+	if b.counted > maxSeriesCount {
+		b.counted, b.series = 0, nextSeries(now, b.series)
+	}
+	return float64(b.series)*seriesUnit + b.counted
+}
+
+// ownDemand returns the demand at the fronts that ask this watcher, and whether any of
+// them reports the tenant.
+func (b *bucket) ownDemand(now snipetime.Instant) (perSecond float64, reported bool) {
+	for _, u := range b.usage {
+		if u.own && u.heard(now) {
+			perSecond += u.demand
+			reported = true
+		}
+	}
+	return perSecond, reported
+}
+
+// demand returns the demand over all fronts.
+func (b *bucket) demand(now snipetime.Instant) (perSecond float64) {
+	for _, u := range b.usage {
+		if u.heard(now) {
+			perSecond += u.demand
+		}
+	}
+	return perSecond
+}
+
+// unknownUsage returns the most that the counter of an unknown sender counts for. What the
+// sender admitted before is unknown, or was subtracted already. In the first seconds of a
+// watcher, most of a counter was subtracted by the watchers before it; later, the tenant
+// is new at the sender.
+func unknownUsage(r *snipefeed.TenantUsage, established bool) float64 {
+	recent := r.Demand * demandMeasureTime.Seconds()
+	if established {
+		recent++
+	}
+	return recent
+}
+
+// merge takes over a report of a front that asks this watcher, or of another watcher.
+func (b *bucket) merge(now snipetime.Instant, from snipefeed.Sender, r *snipefeed.TenantUsage, own, established bool) {
+	u := b.usage[from]
+	first := u == nil
+	if first {
+		u = &usage{own: own}
+		b.usage[from] = u
+	}
+	if r.Admitted < u.counter {
+		return // a late message
+	}
+	added := r.Admitted - u.counter
+	if math.Floor(r.Admitted/seriesUnit) != math.Floor(u.counter/seriesUnit) {
+		added = math.Mod(r.Admitted, seriesUnit)
+	}
+	if first || now.Sub(u.at) > usageRetention {
+		added = min(added, unknownUsage(r, established))
+	}
+	added = max(added-u.assumed, 0)
+	*u = usage{counter: r.Admitted, demand: r.Demand, at: now, own: own}
+	b.charge(added, own)
+}
+
+// MergeTenants implements snipefeed.TenantExchange.
+func (q *TenantQuotas) MergeTenants(now snipetime.Instant, from snipefeed.Sender, reports []snipefeed.TenantUsage) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.updateMembership(now)
+	if !q.watch.membership.watches {
+		return
+	}
+	q.watch.heard[from.Address] = now
+	for i := range reports {
+		b := q.bucketOf(now, reports[i].Tenant)
+		if b == nil {
+			continue
+		}
+		q.watch.noteActive(now)
+		b.merge(now, from, &reports[i], true, q.established(now))
+	}
+}
+
+// MergeTenantNotice implements snipefeed.TenantExchange.
+func (q *TenantQuotas) MergeTenantNotice(now snipetime.Instant, from snipefeed.Sender, fronts int, reports []snipefeed.TenantUsage) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.updateMembership(now)
+	if fronts == 0 || !q.watch.membership.watches {
+		return
+	}
+	q.watch.watchers[from.Address] = watcherNotice{fronts: fronts, at: now}
+	for i := range reports {
+		r := &reports[i]
+		b := q.bucketOf(now, r.Tenant)
+		if b == nil {
+			continue
+		}
+		q.watch.noteActive(now)
+		b.merge(now, from, r, false, q.established(now))
+		if r.LevelKnown && !q.established(now) {
+			b.level = min(b.level, r.Level)
+		}
+	}
+}
+
+// TenantLevels implements snipefeed.TenantExchange.
+func (q *TenantQuotas) TenantLevels(now snipetime.Instant) []snipefeed.TenantUsage {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.updateMembership(now)
+	m := &q.watch.membership
+	if !m.watches || now.Sub(m.watchesSince) < listenTime {
+		return nil
+	}
+	out := []snipefeed.TenantUsage{{}}
+	for name, b := range q.watch.buckets {
+		q.refillBucket(now, name, b)
+		quota, limited := q.limitOf(name)
+		if !limited {
+			continue
+		}
+		demand := b.demand(now)
+		level := b.available(q.reserved(now, quota)/quota.PerSecond, quota)
+		if level < nearShare*quota.Burst || demand > nearShare*quota.PerSecond {
+			out = append(out, snipefeed.TenantUsage{Tenant: name, Demand: demand, Level: level, LevelKnown: q.established(now)})
+		}
+	}
+	return out
+}
