--- a/snipefront/front.go
+++ b/snipefront/front.go
@@ -69,6 +69,7 @@
 	pools   *snipeconn.Pools
 	chooser *snipeplacement.Chooser
 	quotas  *snipequota.Table
+	tenants *snipequota.TenantQuotas
 	gate    *snipegate.Gate
 	// node makes and serves calls between fronts. It is nil if the settings contain no
 	// address for them.
@@ -96,6 +97,7 @@
 	}
 	self := snipefleet.Member{Name: s.Name, Address: s.CallerListen, Peer: s.PeerListen, Place: s.Place}
 	f.quotas = snipequota.New(self, f.fleet, log)
+	f.tenants = snipequota.NewTenantQuotas(self, f.fleet, tenantsInForce{f.tables}, log)
 	f.chooser = snipeplacement.New(s.Name, s.Place, f.quotas)
 	f.settings.Store(s)
 	if err := f.setUpFollower(s, self); err != nil {
@@ -106,7 +108,7 @@
 	f.gate = snipegate.New(snipegate.Dependencies{
 		HeaderCodec: platform.Headers{}, Tables: f.tables, Fleet: f.fleet, Chooser: f.chooser,
 		Limits: f.quotas, Sender: f.pools, Clock: f.clock, Metrics: snipegate.NewMetrics(f.registry), Log: requests,
-		BodyMemory: memory,
+		BodyMemory: memory, Quotas: f.tenants,
 		RetryBudget: func() sniperetry.BudgetSettings {
 			return retryBudget(f.settings.Load().Bounds, len(f.fleet.View().Members()))
 		},
@@ -125,13 +127,13 @@
 		Registry: f.fleet, Tables: f.tables, Clock: f.clock, Log: f.log,
 	}
 	if s.PeerListen != "" {
-		node, err := newNode(s, d.Items, f.chooser, f.quotas, f.clock, f.log)
+		node, err := newNode(s, d.Items, f.chooser, f.quotas, f.tenants, f.clock, f.log)
 		if err != nil {
 			return err
 		}
 		f.node = node
 		f.registry.MustRegister(node.Collectors()...)
-		d.Selector, d.Peers = snipefeed.NewSourceSelector(self, s.Seeds), snipefeed.NewPeerSources(node, f.chooser, f.quotas, f.clock)
+		d.Selector, d.Peers = snipefeed.NewSourceSelector(self, s.Seeds), snipefeed.NewPeerSources(node, f.chooser, f.quotas, f.tenants, f.clock)
 	}
 	f.follower = snipesync.NewFollower(d)
 	return nil
@@ -155,6 +157,7 @@
 	}{
 		{"snipemoor_limited_targets", "Targets that state a rate limit.", func() float64 { return float64(f.quotas.NumLimited()) }},
 		{"snipemoor_resting_targets", "Targets that want no requests from this front.", func() float64 { return float64(f.chooser.NumResting(f.clock.Now())) }},
+		{"snipemoor_tenants_over_quota", "Tenants of which this front lately refused requests above the quota.", func() float64 { return float64(f.tenants.NumOver()) }},
 		{"snipemoor_store_epoch", "Restorations of the store, as it states them.", func() float64 { return float64(f.items.Position().Epoch) }},
 		{"snipemoor_store_revision", "Revision of the store up to which changes are applied.", func() float64 { return float64(f.items.Position().Revision) }},
 		{"snipemoor_configuration_version", "Version of the configuration in force, 0 before the first one.", f.configurationVersion},
@@ -179,6 +182,9 @@
 	opened := func() float64 { n, _ := f.pools.Counts(); return float64(n) }
 	reused := func() float64 { _, n := f.pools.Counts(); return float64(n) }
 	f.registry.MustRegister(
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "snipemoor_quota_refusals_total", Help: "Requests above the quotas of their tenants.",
+		}, func() float64 { return float64(f.tenants.Refusals()) }),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "snipemoor_target_connections_opened_total", Help: "Connections opened to targets.",
 		}, opened),
--- a/snipefront/peers.go
+++ b/snipefront/peers.go
@@ -36,19 +36,23 @@
 	limitNoticeAge = 4 * limitInterval
 )
 
-// divideLimits renews the own shares of the limits of targets, and tells the limits to
-// the fronts of other groups.
+// divideLimits renews the own shares of the limits of targets, and tells the limits and
+// the usage of quotas to other watchers.
 func (f *Front) divideLimits(now snipetime.Instant) {
 	notice := f.quotas.Tick(now, limitNoticeAge)
 	if f.node != nil && len(notice.Peers) > 0 {
 		snipefeed.SendLimitNotice(f.node, notice.Peers, notice.Reports)
 	}
+	tenants := f.tenants.Tick(now)
+	if f.node != nil && len(tenants.Peers) > 0 {
+		snipefeed.SendTenantNotice(f.node, tenants.Peers, tenants.Fronts, tenants.Usage)
+	}
 }
 
 // newNode returns the node over which fronts request items of the store from each
-// other and exchange the loads and limits of targets. It listens at once and serves
+// other and exchange the loads and limits of targets and the usage of quotas. It listens at once and serves
 // them once it is started. It returns an error if the address cannot be listened on.
-func newNode(s *platform.Settings, items *snipefeed.Log, loads snipefeed.LoadExchange, limits snipefeed.LimitExchange, clock snipefeed.Clock, log *zap.Logger) (*snipepeer.Node, error) {
+func newNode(s *platform.Settings, items *snipefeed.Log, loads snipefeed.LoadExchange, limits snipefeed.LimitExchange, tenants snipefeed.TenantExchange, clock snipefeed.Clock, log *zap.Logger) (*snipepeer.Node, error) {
 	l, err := net.Listen("tcp4", s.PeerListen)
 	if err != nil {
 		return nil, fmt.Errorf("listen for other fronts: %w", err)
@@ -60,8 +64,8 @@
 	}
 	dialer := &net.Dialer{Timeout: peerHandshakeTimeout, KeepAlive: -1, Control: snipeconn.TCPUserTimeoutControl(peerUnackedTimeout)}
 	node := snipepeer.New(settings, l, dialer, log)
-	snipefeed.Serve(node, items, loads, limits, clock)
-	snipefeed.ServeLimitNotices(node, limits, clock)
+	snipefeed.Serve(node, items, loads, limits, tenants, clock)
+	snipefeed.ServeLimitNotices(node, limits, tenants, clock)
 	return node, nil
 }
 
