--- a/snipequota/tenantentry.go
+++ b/snipequota/tenantentry.go
@@ -70,9 +70,8 @@
 	series                       uint64
 	// reportUntil is the time until which the tenant is reported.
 	reportUntil snipetime.Instant
-	// levelAt is when a watcher last answered, and levelOwn the own demand then. tracked
-	// is set if it named the tenant: the watcher from told its level and total demand over
-	// all fronts.
+	// levelAt is when the watcher from last answered, and levelOwn the own demand then.
+	// tracked is set if it named the tenant, with its level and total demand over all fronts.
 	levelAt      snipetime.Instant
 	levelOwn     float64
 	tracked      bool
@@ -213,11 +212,11 @@
 	e.over = over
 }
 
-// clear records that the tenant is far below its quota.
-func (e *entry) clear(now snipetime.Instant, k knowledge) {
+// clear records that the tenant is far below its quota, as the watcher from says.
+func (e *entry) clear(now snipetime.Instant, from string, k knowledge) {
 	e.refill(now, k)
 	e.tracked, e.over, e.nextRetryAt = false, false, 0
-	e.levelAt, e.levelOwn = now, e.demand.rate(now)
+	e.levelAt, e.levelOwn, e.from = now, e.demand.rate(now), from
 	e.tokens = max(e.tokens, e.limit(k, e.demand.rate(now)))
 }
 
--- a/snipequota/tenantexchange.go
+++ b/snipequota/tenantexchange.go
@@ -121,7 +121,7 @@
 		}
 		u := named[name]
 		if u == nil {
-			e.clear(now, k)
+			e.clear(now, watcher, k)
 			return
 		}
 		e.apply(now, u.Level-unreported, u, watcher, k)
--- a/snipequota/tenants.go
+++ b/snipequota/tenants.go
@@ -164,15 +164,16 @@
 	q.log.Warn("tenant over quota", q.entryFields(now, name, e)...)
 }
 
-// entryFields returns the fields of log lines about a tenant.
+// entryFields returns the fields of log lines about a tenant. The level and the demand
+// over all fronts are those of the last answer, if it named the tenant.
 func (q *TenantQuotas) entryFields(now snipetime.Instant, name string, e *entry) []zap.Field {
 	f := []zap.Field{
-		zap.String("tenant", name), zap.Float64("perSecond", e.quota.PerSecond), zap.Float64("burst", e.quota.Burst),
-		zap.Float64("ownDemand", e.demand.rate(now)), zap.Bool("levelKnown", e.tracked && q.knowledge(now).heard),
+		zap.String("tenant", name), zap.Float64("perSecond", e.quota.PerSecond), zap.Float64("burst", e.quota.Burst-extraBurst),
+		zap.Float64("ownDemand", e.demand.rate(now)), zap.Bool("heard", q.knowledge(now).heard),
+		zap.String("from", e.from), zap.Duration("age", now.Sub(e.levelAt)),
 	}
 	if e.tracked {
-		f = append(f, zap.Float64("level", e.level), zap.Float64("demand", e.total),
-			zap.String("from", e.from), zap.Duration("age", now.Sub(e.levelAt)))
+		f = append(f, zap.Float64("level", e.level), zap.Float64("demand", e.total))
 	}
 	return f
 }
