--- a/snipequota/cluster_test.go
+++ b/snipequota/cluster_test.go
@@ -37,6 +37,8 @@
 	ordered []*clusterTenant
 	// events run when they are due.
 	events []clusterEvent
+	// onAdmit is called for each admitted request, if it is set.
+	onAdmit func(f *clusterFront)
 	// bytes counts what fronts send about tenants, once the size is set.
 	size  func(usage []snipefeed.TenantUsage) int
 	bytes map[string]int
@@ -268,6 +270,9 @@
 		}
 		if _, ok := f.quotas.Admit(c.now, &t.Tenant); ok {
 			admitted++
+			if c.onAdmit != nil {
+				c.onAdmit(f)
+			}
 		} else {
 			refused++
 		}
--- a/snipequota/tenants_test.go
+++ b/snipequota/tenants_test.go
@@ -97,6 +97,33 @@
 	return 0.1
 }
 
+// TestAdmittedRateIsSteady guards against fronts that take turns in admitting the requests
+// of a tenant over its quota, against a rate that oscillates, and against fronts whose
+// callers get less than others; with two watchers in a group too.
+func TestAdmittedRateIsSteady(t *testing.T) {
+	const fronts = 216 // 36 in each group, which has two watchers
+	c := newCluster(7, fronts)
+	tenant := c.add("a", 600, 600, 2000)
+	admitted := make(map[string]int)
+	c.onAdmit = func(f *clusterFront) { admitted[f.member.Place.Domain]++ }
+	c.run(15 * time.Second)
+	from := len(tenant.admitted)
+	clear(admitted)
+	c.run(20 * time.Second)
+	const steps = int(time.Second / clusterStep)
+	for i := from; i+steps <= len(tenant.admitted); i += steps {
+		if n := total(tenant.admitted[i : i+steps]); n < 480 || n > 720 {
+			t.Errorf("%d requests are admitted in second %d", n, (i-from)/steps)
+		}
+	}
+	for domain, n := range admitted {
+		if n < 1500 || n > 2500 {
+			t.Errorf("%d requests are admitted at the fronts of %s, want 2000", n, domain)
+		}
+	}
+	checkWindow(t, c)
+}
+
 // clusterFault changes a cluster, and returns what ends the change.
 type clusterFault struct {
 	name  string
