--- a/snipequota/tenantmessages_test.go
+++ b/snipequota/tenantmessages_test.go
@@ -1,6 +1,7 @@
 package snipequota
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -116,3 +117,30 @@
 		}
 	}
 }
+
+// TestConcurrentUse guards against data races between requests, messages and the tick.
+func TestConcurrentUse(*testing.T) {
+	c := newCluster(1, 2)
+	tenant := c.add("a", 10, 10, 0)
+	c.run(10 * time.Second)
+	q, now := c.fronts[0].quotas, c.now
+	from := snipefeed.Sender{Address: "x"}
+	usage := []snipefeed.TenantUsage{{Tenant: "a", Admitted: 1, Demand: 20}}
+	var group sync.WaitGroup
+	for _, f := range []func(){
+		func() { q.Admit(now, &tenant.Tenant) },
+		func() { q.Return(now, &tenant.Tenant) },
+		func() { q.Tick(now) },
+		func() { q.MergeTenants(now, from, usage) },
+		func() { q.MergeTenantNotice(now, from, 3, usage) },
+		func() { q.ApplyTenantLevels(now, now, "x", q.ReportTenants(now, "x"), q.TenantLevels(now)) },
+		func() { _, _ = q.NumOver(), q.Refusals() },
+	} {
+		group.Go(func() {
+			for range 200 {
+				f()
+			}
+		})
+	}
+	group.Wait()
+}
