--- a/snipequota/tenantentry.go
+++ b/snipequota/tenantentry.go
@@ -32,6 +32,10 @@
 	// fronts, these add up to more than the quota until the next answer, which comes
 	// sooner (after 375 ms and the transit) unless a watcher failed.
 	freshTime = 600 * time.Millisecond
+	// maxEqualDebt bounds, in bursts of the equal part, what a front that hears from no
+	// watcher pays back of what it admitted before. A jump to 7.5 times the usual demand,
+	// 3.75 times the rate, exceeds the rate by 2 such bursts in 0.75 s.
+	maxEqualDebt = 2
 	// maxTenantRetryDelay bounds the retry delays of tenants over their quotas.
 	maxTenantRetryDelay = 30 * time.Second
 	// minRefill is the least rate, in requests per second, from which a retry delay is
@@ -120,12 +124,13 @@
 	mean := (e.demand.rate(e.at) - own) * demandMeasureTime.Seconds() / dt
 	equal := e.quota.PerSecond / k.fronts
 	e.spare = min(e.spare+equal*dt, e.equalBurst(k))
-	stale := k.heard && !e.over && now.Sub(e.levelAt) > freshTime
+	stale := k.heard && now.Sub(e.levelAt) > freshTime
 	if stale {
-		mean = max(min(mean, e.levelOwn)-equal, 0)
+		mean = min(mean, e.levelOwn)
+		e.level = min(e.level, 0) // spent by now
 	}
 	e.tokens = min(e.tokens+e.perSecond(mean, k)*dt, e.limit(k, own))
-	if !k.heard || stale && e.levelOwn <= equal {
+	if !k.heard || stale && !e.over && (e.levelOwn <= equal || e.tracked && e.total > e.quota.PerSecond) {
 		e.tokens = min(e.tokens, e.spare)
 	}
 	e.at = now
@@ -168,7 +173,7 @@
 	case e.over:
 		return 1 + max(e.level, 0)*e.share(own)
 	default:
-		return max(1, e.free(own))
+		return max(e.equalBurst(k), e.free(own))
 	}
 }
 
@@ -178,7 +183,7 @@
 // take takes a token for a request.
 func (e *entry) take(k knowledge) {
 	e.tokens--
-	e.spare = max(e.spare-1, -e.equalBurst(k))
+	e.spare = max(e.spare-1, -maxEqualDebt*e.equalBurst(k))
 	e.admitted++
 }
 
