snipequota: a front without answers assumes that a grown demand jumped everywhere

A front whose own demand has grown by half since the last answer now falls back to its equal part after 0.6 s, counting what it admitted before.

TestFaultSoonAfterJump shows it. Two of its cases still exceed the bound by 2 to 9 %: a group cut off 0.5 s, and all fronts restarted 1 s after the jump.

--- a/snipequota/tenantentry.go
+++ b/snipequota/tenantentry.go
@@ -32,6 +32,9 @@
 	// fronts, these add up to more than the quota until the next answer, which comes
 	// sooner (after 375 ms and the transit) unless a watcher failed.
 	freshTime = 600 * time.Millisecond
+	// jumpFactor is the growth of the own demand, since the last answer, with which a front
+	// without answers assumes that the demand has jumped at all fronts.
+	jumpFactor = 1.5
 	// maxEqualDebt bounds, in bursts of the equal part, what a front that hears from no
 	// watcher pays back of what it admitted before. A jump to 7.5 times the usual demand,
 	// 3.75 times the rate, exceeds the rate by 2 such bursts in 0.75 s.
@@ -130,7 +133,8 @@
 		e.level = min(e.level, 0) // spent by now
 	}
 	e.tokens = min(e.tokens+e.perSecond(mean, k)*dt, e.limit(k, own))
-	if !k.heard || stale && !e.over && (e.levelOwn <= equal || e.tracked && e.total > e.quota.PerSecond) {
+	jumped := own > jumpFactor*e.levelOwn
+	if !k.heard || stale && (jumped || !e.over && (e.levelOwn <= equal || e.tracked && e.total > e.quota.PerSecond)) {
 		e.tokens = min(e.tokens, e.spare)
 	}
 	e.at = now
