snipequota: a watcher that comes back takes over the level that others tell

When they were watchers again, the first notice of each other watcher was charged with up to a second of its demand, 487, 808 and 1,230 requests of one tenant, though demand is what callers ask and not what is admitted. Their level fell to -2,000 at a quota of 683/s, and their fronts refused half of the tenant's usual requests for six seconds after its overload. A watcher that hears of no others reserved the whole quota, so that its own fronts got less than their equal part. Ruled out: the admitted rate in the overload itself (4,429 requests in 6 s, one token bucket 5,124). Change: the first notice of a watcher that knows the level sets the level, at most, and charges nothing; the reserve leaves the equal part of the own fronts.

--- a/snipequota/tenantbucket.go
+++ b/snipequota/tenantbucket.go
@@ -140,7 +140,12 @@
 	if math.Floor(r.Admitted/seriesUnit) != math.Floor(u.counter/seriesUnit) {
 		added = math.Mod(r.Admitted, seriesUnit)
 	}
-	if first || now.Sub(u.at) > usageRetention {
+	unknown := first || now.Sub(u.at) > usageRetention
+	switch {
+	case unknown && r.LevelKnown:
+		// The level of the other watcher counts what its fronts admitted.
+		b.level, added = min(b.level, r.Level), 0
+	case unknown:
 		added = min(added, unknownUsage(r, established))
 	}
 	added = max(added-u.assumed, 0)
--- a/snipequota/tenantlevel.go
+++ b/snipequota/tenantlevel.go
@@ -144,9 +144,11 @@
 }
 
 // reserved returns the part of a quota, in requests per second, that fronts use which no
-// watcher hears.
+// watcher hears. The fronts that ask this watcher keep their equal part, also if it hears
+// of no others.
 func (q *TenantQuotas) reserved(now snipetime.Instant, quota snipetable.Quota) float64 {
-	return min(quota.PerSecond*q.unheard(now)/q.numFronts(), quota.PerSecond)
+	others := max(q.numFronts()-float64(q.watch.ownFronts(now)), 0)
+	return quota.PerSecond * min(q.unheard(now), others) / q.numFronts()
 }
 
 // noteActive records that a tenant with a quota is in use.
