snipemoor check-config: check a configuration of the platform

platform.Inspector decodes a configuration as fronts do, and reads the one in force, the targets and the fronts with one linearizable listing. snipecli gets it as an interface, so that names of the platform stay in platform/.

TestImports now allows cmd/snipemoor, which passes the Inspector to snipecli, to import platform. All other packages are forbidden to as before.

Golden tests cover text, JSON, standard input, the store and the three exit statuses. A property test damages single bytes of a configuration and finds no key, digest or base64 form of one in the output.

--- a/cmd/snipemoor/main.go
+++ b/cmd/snipemoor/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/mattn/go-isatty"
 
+	"github.com/snipemoor/snipemoor/platform"
 	"github.com/snipemoor/snipemoor/snipecli"
 	"github.com/snipemoor/snipemoor/snipetime"
 )
@@ -25,7 +26,8 @@
 	clock := snipetime.New()
 	defer clock.Close()
 	app := snipecli.New(snipecli.Dependencies{
-		Stdout: os.Stdout, Stderr: os.Stderr, Clock: clock, Terminal: isatty.IsTerminal(os.Stderr.Fd()),
+		Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr, Clock: clock, Terminal: isatty.IsTerminal(os.Stderr.Fd()),
+		Configs: platform.Inspector{},
 	})
 	return app.Run(ctx, os.Args[1:])
 }
--- a/snipecli/app.go
+++ b/snipecli/app.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/alecthomas/kong"
@@ -37,8 +38,10 @@
 	After(delay time.Duration, f func(snipetime.Instant)) (cancel func())
 }
 
-// Dependencies are the streams and the clock that an App uses.
+// Dependencies are the streams, the clock and the platform that an App uses.
 type Dependencies struct {
+	// Stdin is read by check-config if no file is named; nil is empty.
+	Stdin io.Reader
 	// Stdout receives the results of commands, Stderr errors and progress.
 	Stdout, Stderr io.Writer
 	// Clock measures the waits between polls, the time until a change is in force
@@ -47,6 +50,8 @@
 	// Terminal is set if Stderr is a terminal, on which a progress line can be
 	// overwritten. Without it no progress is shown.
 	Terminal bool
+	// Configs reads configurations of the users' platform; without it, check-config fails.
+	Configs ConfigReader
 }
 
 // App parses and runs command lines.
@@ -54,8 +59,13 @@
 	deps Dependencies
 }
 
-// New returns an App. All dependencies but Terminal are required.
-func New(deps Dependencies) *App { return &App{deps: deps} }
+// New returns an App. Stdout, Stderr and Clock are required.
+func New(deps Dependencies) *App {
+	if deps.Stdin == nil {
+		deps.Stdin = strings.NewReader("")
+	}
+	return &App{deps: deps}
+}
 
 // Run parses and runs one command line, without the name of the program, and
 // returns the exit status. Errors are written to Stderr.
--- a/snipecli/commands.go
+++ b/snipecli/commands.go
@@ -7,18 +7,19 @@
 type commandLine struct {
 	Output string `help:"Output format: text or json." enum:"text,json" default:"text" placeholder:"FORMAT"`
 
-	Validate validateCommand `cmd:"" help:"Check the documents of a deployment."`
-	Diff     diffCommand     `cmd:"" help:"Show how the documents of a directory differ from the store."`
-	Apply    applyCommand    `cmd:"" help:"Put the documents of a directory in force."`
-	Get      getCommand      `cmd:"" help:"Show the configuration in the store."`
-	Drain    drainCommand    `cmd:"" help:"Announce the drain of a target, an instance or a place."`
-	Undrain  undrainCommand  `cmd:"" help:"End an announced drain."`
-	Status   statusCommand   `cmd:"" help:"Show the status of an instance: fleet members, positions, limits and slot groups."`
-	Lookup   lookupCommand   `cmd:"" help:"Show which entry instances serve a client block."`
-	Load     loadCommand     `cmd:"" help:"Send requests to a service at a given rate, as its callers do."`
-	Trace    traceCommand    `cmd:"" help:"Find out why requests ran that were refused as not run, from logs and records."`
-	Demo     demoCommand     `cmd:"" help:"Run an example deployment on loopback and check its guarantees."`
-	Version  versionCommand  `cmd:"" help:"Show the version of this program."`
+	Validate    validateCommand    `cmd:"" help:"Check the documents of a deployment."`
+	CheckConfig checkConfigCommand `cmd:"" help:"Check a configuration of the users' platform."`
+	Diff        diffCommand        `cmd:"" help:"Show how the documents of a directory differ from the store."`
+	Apply       applyCommand       `cmd:"" help:"Put the documents of a directory in force."`
+	Get         getCommand         `cmd:"" help:"Show the configuration in the store."`
+	Drain       drainCommand       `cmd:"" help:"Announce the drain of a target, an instance or a place."`
+	Undrain     undrainCommand     `cmd:"" help:"End an announced drain."`
+	Status      statusCommand      `cmd:"" help:"Show the status of an instance: fleet members, positions, limits and slot groups."`
+	Lookup      lookupCommand      `cmd:"" help:"Show which entry instances serve a client block."`
+	Load        loadCommand        `cmd:"" help:"Send requests to a service at a given rate, as its callers do."`
+	Trace       traceCommand       `cmd:"" help:"Find out why requests ran that were refused as not run, from logs and records."`
+	Demo        demoCommand        `cmd:"" help:"Run an example deployment on loopback and check its guarantees."`
+	Version     versionCommand     `cmd:"" help:"Show the version of this program."`
 }
 
 // storeFlags are the flags of commands that read the store.
