snipecaller: a request that the server rejects is not started early

Cause: requests that start early are parsed by http.ReadRequest, which accepts names of header fields with spaces and leaves them as they are. The server of net/http answers such a request with 400, but it had been sent to a target by then. So a pipelined request could carry "X-Snipemoor-Tenant : other" or a key to a target, and a target that ignores the space before the colon took it as the header that only the front sets.

Change: before the start, the names and values of the fields and the host are checked as the server checks them. Other requests are left to net/http.

--- a/snipecaller/early.go
+++ b/snipecaller/early.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"slices"
 	"time"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // EarlyStarter may start the response to a pipelined request before net/http
@@ -32,13 +34,28 @@
 func (c *conn) startResponses(pipelined []*receivedRequest) {
 	for _, p := range pipelined {
 		r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(p.head)))
-		if err != nil || mayHaveBody(p.head) || r.Close {
+		if err != nil || mayHaveBody(p.head) || r.Close || !serverAccepts(r) {
 			return // left to net/http, as are the requests after it
 		}
 		c.startResponse(p, r)
 	}
 }
 
+// serverAccepts makes the checks of a request that the server of net/http makes in addition
+// to http.ReadRequest, which accepts names with spaces. A target may ignore a space before
+// the colon, so that it would accept a header that is not recognized here under its name.
+func serverAccepts(r *http.Request) bool {
+	for name, values := range r.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return false
+		}
+		if slices.ContainsFunc(values, func(v string) bool { return !httpguts.ValidHeaderFieldValue(v) }) {
+			return false
+		}
+	}
+	return httpguts.ValidHostHeader(r.Host)
+}
+
 // startResponse starts the response to one pipelined request, unless net/http
 // already serves the request or too many responses have started.
 func (c *conn) startResponse(p *receivedRequest, r *http.Request) {
--- a/snipecaller/early_test.go
+++ b/snipecaller/early_test.go
@@ -105,6 +105,29 @@
 	}
 }
 
+// TestInvalidHeader guards against a response that starts early for a request that the server
+// of net/http rejects, because the target could interpret its headers in another way.
+func TestInvalidHeader(t *testing.T) {
+	for _, line := range []string{"Name : value", "Na me: value", "Name: a\rb", "Name: a\x00", "Host: h"} {
+		r := &earlyRecorder{calls: make(chan struct{}, 16)}
+		c := serveEarly(t, r.begin, func(_ http.ResponseWriter, req *http.Request) {
+			BeginServing(req)
+			EndServing(req)
+		})
+		send(t, c, get("/1")+"GET /2 HTTP/1.1\r\nHost: h\r\n"+line+"\r\n\r\n")
+		_ = c.SetReadDeadline(time.Now().Add(wait))
+		responses := bufio.NewReader(c)
+		for _, want := range []int{http.StatusOK, http.StatusBadRequest} {
+			if resp, err := http.ReadResponse(responses, nil); err != nil || resp.StatusCode != want {
+				t.Fatalf("%q: response %v, error %v, want status %d", line, resp, err, want)
+			}
+		}
+		if len(r.calls) != 0 {
+			t.Errorf("%q: the response started early", line)
+		}
+	}
+}
+
 // TestSplit guards against heads that are split differently depending on how their
 // bytes are divided between reads.
 func TestSplit(t *testing.T) {
--- a/snipegate/tenantheaders_test.go
+++ b/snipegate/tenantheaders_test.go
@@ -166,6 +166,27 @@
 	}
 }
 
+// TestPipelinedInvalidHeader guards against a pipelined request that is sent early although
+// the server rejects it: a target that ignores the space before a colon would receive a
+// forged tenant, or a key.
+func TestPipelinedInvalidHeader(t *testing.T) {
+	for _, line := range []string{"Tenant : forged", "Key : secret", "Ten ant: forged", "Other: x\rTenant: forged", "Other: x\x00", "Host: h"} {
+		address, received := startTenantFront(t, snipetable.Idempotent)
+		var text strings.Builder
+		for i, header := range []string{"", line + "\r\n"} {
+			fmt.Fprintf(&text, "GET / HTTP/1.1\r\nHost: h\r\nId: %d\r\nKey: %s\r\n%s\r\n", i, keyOfT, header)
+		}
+		responses := exchange(t, address, http.MethodGet, text.String(), 2)
+		if first, second := responses[0].StatusCode, responses[1].StatusCode; first != http.StatusOK || second != http.StatusBadRequest {
+			t.Errorf("%q: status %d and %d", line, first, second)
+		}
+		checkTenant(t, <-received, "t")
+		if len(received) != 0 {
+			t.Errorf("%q: a target received the request %v", line, <-received)
+		}
+	}
+}
+
 // TestRetryNamesTenant guards against a further attempt that does not name the tenant, or
 // that carries the key.
 func TestRetryNamesTenant(t *testing.T) {
