snipegate: no forged tenant from requests that tenants come into force for

Cause: whether the key and the tenant of the caller are forwarded was decided by the version that admitted the request. A request that a version without tenants admitted, and that waited for its body or a retry, carried its headers to a target after a version with tenants was in force, and the target takes the name of the tenant as the front's.

Change: the headers are also left out if the table in force at the attempt has tenants. Two doc comments are put in order.

Measured: before, TestTenantsInForceMeanwhile fails (both headers forwarded); after, it passes.

--- a/snipegate/attempts.go
+++ b/snipegate/attempts.go
@@ -137,8 +137,8 @@
 }
 
 // acquireRetry reports whether the request may be sent once more after an attempt
-// with the given result. It may not if its key was removed. acquireRetry charges the retry to the retry budget, unless the request
-// reached no target and so put no load on one.
+// with the given result. It may not if its key was removed. acquireRetry charges the retry to
+// the retry budget, unless the request reached no target and so put no load on one.
 func (q *request) acquireRetry(result attemptResult) bool {
 	if len(q.tried) >= q.route.MaxAttempts || q.r.Context().Err() != nil || q.recheckKey() != "" {
 		return false
--- a/snipegate/tenantheaders_test.go
+++ b/snipegate/tenantheaders_test.go
@@ -211,3 +211,14 @@
 		t.Errorf("status %d, sent %+v", w.Code, r.sender.sent)
 	}
 }
+
+// TestTenantsInForceMeanwhile guards against a forged tenant, or a key, that reaches a target
+// because the request was admitted by a version without tenants and has waited for its body.
+func TestTenantsInForceMeanwhile(t *testing.T) {
+	r := newTestGate(t, snipetable.Upload, successResult("x"))
+	body := hookReader{strings.NewReader("body"), func() { r.gate.Tables.UpdateIfNewer(newTenantTable(9, snipetable.Upload, keyOfT)) }}
+	w := r.callWithKeys(http.MethodPost, "/", body, "k")
+	if w.Code != http.StatusOK || !slices.Equal(r.sender.sent[0].Omitted, []string{"Key", "Tenant"}) {
+		t.Errorf("status %d, sent %+v", w.Code, r.sender.sent)
+	}
+}
--- a/snipegate/tenants.go
+++ b/snipegate/tenants.go
@@ -77,17 +77,18 @@
 	return ""
 }
 
-// omittedHeaders returns the names of the caller's headers that no target receives.
+// omittedHeaders returns the names of the caller's headers that no target receives. A table
+// with tenants may have been put in force since the request was admitted.
 func (q *request) omittedHeaders() []string {
-	if !q.table.RequiresKeys() {
+	if !q.table.RequiresKeys() && !q.gate.Tables.Current().RequiresKeys() {
 		return nil
 	}
 	return q.gate.HeaderCodec.TenantHeaders()
 }
 
-// chargeQuota takes a token of the tenant's quota. It uses the time at which the request was
-// checked, because reading the clock takes longer than looking up a key. If there is none, it refuses the request
-// and returns false.
+// chargeQuota takes a token of the tenant's quota. If there is none, it refuses the request
+// and returns false. It uses the time at which the request was checked, because reading the
+// clock takes longer than looking up a key.
 func (q *request) chargeQuota() bool {
 	if q.tenant == nil || q.gate.Quotas == nil {
 		return true
