snipegate: a path in disguise does not make a request public

Cause: routes are matched by the path as the caller sent it, and targets receive it unchanged. With a public route of a shorter or another prefix, a request for /%70rivate/x, //private/x or /public/../private/x needed no key, had no tenant and no quota, and a target that decodes or cleans paths served it as one of the route that needs keys.

Change: a request of a public route needs a key too if its decoded and cleaned path matches a route that is not public. The route itself, and deployments without tenants, are as before.

--- a/snipegate/tenants.go
+++ b/snipegate/tenants.go
@@ -36,7 +36,7 @@
 	case q.route.Disabled():
 		q.refuse(OutcomeRouteDisabled, disabledRetryDelay)
 		return false
-	case q.route.Public || !q.table.RequiresKeys():
+	case !needsKey(q.table, q.route, q.r):
 		return true
 	case q.call.Key == "":
 		q.refuse(OutcomeUnauthorized, 0)
--- a/snipegate/tenants_test.go
+++ b/snipegate/tenants_test.go
@@ -159,6 +159,41 @@
 	}
 }
 
+// TestDisguisedPath guards against a request that needs no key because its path is written so
+// that it matches a public route, while a target that decodes or cleans the path serves it as
+// one of a route that needs a key.
+func TestDisguisedPath(t *testing.T) {
+	route := func(prefix string, public bool) snipetable.Route {
+		return snipetable.Route{
+			Name: prefix, Host: "h", Prefix: prefix, Kind: snipetable.Idempotent, Timeout: time.Second, MaxAttempts: 1,
+			Backends: []snipetable.Backend{{Service: "s", Weight: 1}}, Public: public,
+		}
+	}
+	table := snipetable.New(snipetable.Content{
+		Version: 9, Services: []snipetable.Service{{Name: "s"}}, RequiresKeys: true,
+		Routes:  []snipetable.Route{route("/", true), route("/public/", true), route("/private/", false)},
+		Tenants: []snipetable.TenantEntry{{Tenant: snipetable.Tenant{Name: "t"}, Keys: []string{keyOfT}}},
+	})
+	for path, public := range map[string]bool{
+		"/": true, "/x": true, "/public/x": true, "/public/a%2Fb": true, "/public//x": true, "/private": true, "/x?y=/../private/x": true,
+		"/private/x": false, "/%70rivate/x": false, "//private/x": false, "/./private/x": false, "/public/../private/x": false,
+		"/public/%2e%2e/private/x": false, "/private%2fx": false, "/public/..%2Fprivate%2F.": false, "http://h/%70rivate/x": false,
+	} {
+		for _, keys := range [][]string{nil, {keyOfT}} {
+			r := newTestGate(t, snipetable.Idempotent, successResult("x"))
+			r.gate.Tables.UpdateIfNewer(table)
+			w := r.callWithKeys(http.MethodGet, path, nil, keys...)
+			want := http.StatusOK
+			if !public && keys == nil {
+				want = http.StatusUnauthorized
+			}
+			if w.Code != want || (len(r.sender.sent) > 0) != (want == http.StatusOK) {
+				t.Errorf("%s with %d keys: status %d after %d sends", path, len(keys), w.Code, len(r.sender.sent))
+			}
+		}
+	}
+}
+
 // TestBeforeFirstConfiguration guards against a status that tells the caller that its key is
 // wrong before any key is known.
 func TestBeforeFirstConfiguration(t *testing.T) {
