snipefront: with strict revocation, callers are accepted after a confirmation

Cause: a front accepted callers once its first listing was applied. This listing is stale and confirms nothing, so that all requests with keys got 503 (configurationStale) until the first watch had ended, also where callers return to the address of a restarted front at once.

Change: the front waits for the first confirmation, at most 2 s, and then serves public routes without one. Nothing changes where revocation is not strict.

--- a/snipefront/callers.go
+++ b/snipefront/callers.go
@@ -55,7 +55,8 @@
 }
 
 // callersActor returns the actor that serves callers from the first complete
-// configuration to the end of the graceful stop, when it closes stopped.
+// configuration, and its confirmation where revocation is strict, to the end of the graceful
+// stop, when it closes stopped.
 func (f *Front) callersActor(ctx context.Context, stopped chan<- struct{}) (execute func() error, interrupt func(error)) {
 	ctx, cancel := context.WithCancel(ctx)
 	return func() error {
@@ -65,6 +66,10 @@
 		case <-ctx.Done():
 			return nil
 		}
+		f.awaitConfirmation(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
 		return f.runCallersServer(ctx)
 	}, func(error) { cancel() }
 }
--- a/snipefront/revocation.go
+++ b/snipefront/revocation.go
@@ -1,6 +1,7 @@
 package snipefront
 
 import (
+	"context"
 	"math"
 	"sync/atomic"
 	"time"
@@ -26,6 +27,27 @@
 	return b.Revoke
 }
 
+// maxConfirmationWait bounds how long a front with strict revocation waits after its first
+// listing for a confirmation before it accepts callers. It is longer than a call to the store
+// usually takes. A front that gets no confirmation serves public routes.
+const maxConfirmationWait = 2 * time.Second
+
+// awaitConfirmation waits until the configuration is confirmed, if revocation is strict. The
+// first listing of a front is stale, so that it would refuse all requests with keys until its
+// next call to the store has ended.
+func (f *Front) awaitConfirmation(ctx context.Context) {
+	if !f.revocation.Strict() {
+		return
+	}
+	timeout := time.NewTimer(maxConfirmationWait)
+	defer timeout.Stop()
+	select {
+	case <-f.revocation.Confirmed():
+	case <-timeout.C:
+	case <-ctx.Done():
+	}
+}
+
 // revocationMonitor logs and counts when the front begins and ceases to refuse requests
 // with keys because its configuration is not confirmed.
 type revocationMonitor struct {
--- a/snipesync/revocation.go
+++ b/snipesync/revocation.go
@@ -20,6 +20,8 @@
 	maxAge atomic.Int64
 	// latest is the latest confirmation of the table in force, or nil before the first.
 	latest atomic.Pointer[tableConfirmation]
+	// confirmed is closed at the first confirmation.
+	confirmed chan struct{}
 }
 
 // tableConfirmation is a confirmation of the table in force: the begin of the store call
@@ -32,7 +34,7 @@
 // NewRevocation returns a Revocation without a confirmation. bound is the time within
 // which keys have to be revoked, or 0 if revocation is not strict.
 func NewRevocation(bound time.Duration) *Revocation {
-	r := &Revocation{}
+	r := &Revocation{confirmed: make(chan struct{})}
 	r.SetBound(bound)
 	return r
 }
@@ -67,6 +69,9 @@
 	return now.Sub(latest.began), latest.source, true
 }
 
+// Confirmed returns a channel that is closed at the first confirmation of a table in force.
+func (r *Revocation) Confirmed() <-chan struct{} { return r.confirmed }
+
 // confirm records a confirmation of the table in force unless a later one is known. The
 // table must be in force already. Only the follower calls it, from one goroutine.
 func (r *Revocation) confirm(c snipefeed.Confirmation, source string) {
@@ -76,4 +81,7 @@
 		return
 	}
 	r.latest.Store(&tableConfirmation{began: began, source: source})
+	if latest == nil {
+		close(r.confirmed)
+	}
 }
