snipeconn: omitted fields are left out in the spelling with underscores too

Cause: X_Snipemoor_Tenant and X_Snipemoor_Key are other fields than those with hyphens, so they were forwarded. Targets that read fields as variables (CGI, WSGI and others) see the same variable for both spellings and can take the caller's value as the tenant named by the front.

Change: Request.Omitted also matches names with underscores.

--- a/snipeconn/request.go
+++ b/snipeconn/request.go
@@ -22,8 +22,8 @@
 	// Overrides are header fields that replace those of the same name in
 	// Header. The names are in canonical form.
 	Overrides []Field
-	// Omitted are the names, in canonical form, of fields of Header that are left out.
-	// Overrides may contain them.
+	// Omitted are the names, in canonical form, of fields of Header that are left out, also
+	// if they are written with underscores. Overrides may contain them.
 	Omitted []string
 	// Body is the whole body. HasBody distinguishes an empty body from none.
 	Body    []byte
@@ -97,7 +97,7 @@
 
 // replaces reports whether Omitted or Overrides has a field of the given name.
 func (r *Request) replaces(name string) bool {
-	if slices.Contains(r.Omitted, name) {
+	if r.omits(name) {
 		return true
 	}
 	for _, f := range r.Overrides {
@@ -108,6 +108,14 @@
 	return false
 }
 
+// omits reports whether Omitted has a field of the given name. Targets that pass fields on as
+// variables (RFC 3875, section 4.1.18) do not distinguish underscores from hyphens.
+func (r *Request) omits(name string) bool {
+	return slices.ContainsFunc(r.Omitted, func(omitted string) bool {
+		return len(name) == len(omitted) && strings.EqualFold(strings.ReplaceAll(name, "_", "-"), omitted)
+	})
+}
+
 func writeField(b *bytes.Buffer, name, value string) {
 	b.WriteString(name)
 	b.WriteString(": ")
