snipegate: the error of a malformed trailer is not logged with its line

Cause: net/http quotes the whole line in the error of a trailer that cannot be read, and the gate logged it as the cause of bodyBroken. A caller that sends its key in a trailer put it into the log. Keys appear in no log line.

Change: such errors are replaced by one that quotes nothing.

Measured: before, TestMalformedTrailer fails for three kinds of malformed lines; after, it passes.

--- a/snipegate/body.go
+++ b/snipegate/body.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/textproto"
 	"os"
 	"slices"
 	"time"
@@ -50,12 +51,25 @@
 	case errors.As(err, &tooLarge):
 		q.refuse(OutcomeBodyTooLarge, 0)
 	default:
-		q.cause = err
+		q.cause = withoutTrailer(err)
 		q.refuse(OutcomeBodyBroken, 0)
 	}
 	return false
 }
 
+// errMalformedTrailer replaces the error of a trailer that cannot be read.
+var errMalformedTrailer = errors.New("malformed trailer")
+
+// withoutTrailer returns the error of a body as it can be logged. That of a malformed trailer
+// quotes the line, which can contain a key.
+func withoutTrailer(err error) error {
+	var quoting textproto.ProtocolError
+	if errors.As(err, &quoting) {
+		return errMalformedTrailer
+	}
+	return err
+}
+
 // readLimitedBody reads a body of at most limit bytes. The error is errNoMemory, an
 // *http.MaxBytesError, or a wrapped read error of the connection.
 func (q *request) readLimitedBody(limit int64) error {
--- a/snipegate/tenantheaders_test.go
+++ b/snipegate/tenantheaders_test.go
@@ -11,6 +11,10 @@
 	"strings"
 	"testing"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
 	"github.com/snipemoor/snipemoor/snipecaller"
 	"github.com/snipemoor/snipemoor/snipetable"
 )
@@ -222,3 +226,21 @@
 		t.Errorf("status %d, sent %+v", w.Code, r.sender.sent)
 	}
 }
+
+// TestMalformedTrailer guards against a key in the log because the error of a malformed trailer
+// quotes it.
+func TestMalformedTrailer(t *testing.T) {
+	core, logs := observer.New(zapcore.DebugLevel)
+	r, _ := newTenantGate(t, snipetable.Upload)
+	r.gate.Log = zap.New(core)
+	server := httptest.NewServer(r.gate)
+	defer server.Close()
+	for _, trailer := range []string{"Key " + keyOfT, "Key: " + keyOfT + "\x01", "Key\x01: " + keyOfT} {
+		text := "POST / HTTP/1.1\r\nHost: h\r\nId: 1\r\nKey: " + keyOfT + "\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" + trailer + "\r\n\r\n"
+		resp := exchange(t, server.Listener.Addr().String(), http.MethodPost, text, 1)[0]
+		lines := logs.TakeAll()
+		if resp.StatusCode != http.StatusBadRequest || len(lines) != 1 || strings.Contains(fmt.Sprint(lines[0].ContextMap()), keyOfT) {
+			t.Errorf("%q: status %d, log %v", trailer, resp.StatusCode, lines)
+		}
+	}
+}
