snipegate: a clean path of a public route costs no memory

Cause: the check of disguised paths allocated for every request of a public route.

Change: paths without empty elements and elements that begin with a dot are used as they are.

Measured: 4 allocations before, 0 after (TestCleanPath); the other cases of the test pass with both.

--- a/snipegate/routing.go
+++ b/snipegate/routing.go
@@ -32,6 +32,9 @@
 // cleanPath returns a decoded path without empty, "." and ".." elements. Like path.Clean, but
 // a path that ends with one of them ends with a slash.
 func cleanPath(decoded string) string {
+	if strings.HasPrefix(decoded, "/") && !strings.Contains(decoded, "//") && !strings.Contains(decoded, "/.") {
+		return decoded
+	}
 	cleaned := path.Clean("/" + decoded)
 	switch decoded[strings.LastIndexByte(decoded, '/')+1:] {
 	case "", ".", "..":
