snipefront: no report of refused keys before callers are accepted

Cause: between its first, stale listing and the first confirmation a front logged that requests with keys are refused, and counted two changes, at most of its starts, although it does not accept callers yet.

Change: the monitor begins when the front accepts callers.

--- a/snipefront/callers.go
+++ b/snipefront/callers.go
@@ -87,6 +87,7 @@
 	server.ErrorLog = zap.NewStdLog(f.log)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(snipecaller.Listen(l, maxConns, f.gate.ServePipelined)) }()
+	f.serving.Store(true)
 	f.book.accepting.Store(true)
 	announced := make(chan struct{})
 	announceCtx, withdraw := context.WithCancel(context.Background())
--- a/snipefront/front.go
+++ b/snipefront/front.go
@@ -72,6 +72,8 @@
 	// revocation bounds the age of the configuration; monitor logs and counts it.
 	revocation *snipesync.Revocation
 	monitor    *revocationMonitor
+	// serving is set when the front begins to accept callers, and stays set.
+	serving atomic.Bool
 }
 
 // New returns a front. It listens for other fronts at once; everything else starts
@@ -96,7 +98,7 @@
 	f.chooser = snipeplacement.New(s.Name, s.Place, f.quotas)
 	f.settings.Store(s)
 	f.revocation = snipesync.NewRevocation(revocationBound(s.Bounds))
-	f.monitor = &revocationMonitor{revocation: f.revocation, loaded: func() bool { return f.tables.Current() != nil }, log: log}
+	f.monitor = &revocationMonitor{revocation: f.revocation, serving: f.serving.Load, log: log}
 	if err := f.setUpFollower(s, self); err != nil {
 		return nil, err
 	}
--- a/snipefront/revocation.go
+++ b/snipefront/revocation.go
@@ -52,10 +52,9 @@
 // with keys because its configuration is not confirmed.
 type revocationMonitor struct {
 	revocation *snipesync.Revocation
-	// loaded reports whether a configuration is in force. Before, the front refuses
-	// requests for another reason.
-	loaded func() bool
-	log    *zap.Logger
+	// serving reports whether the front has begun to accept callers.
+	serving func() bool
+	log     *zap.Logger
 	// refusing is the result of the last look.
 	refusing bool
 	changes  atomic.Uint64
@@ -64,7 +63,7 @@
 // observe looks at the age of the configuration at now. Calls must not overlap.
 func (m *revocationMonitor) observe(now snipetime.Instant) {
 	age, source, known := m.revocation.Age(now)
-	refusing := m.loaded() && !m.revocation.Recent(now)
+	refusing := m.serving() && !m.revocation.Recent(now)
 	if refusing == m.refusing {
 		return
 	}
--- a/snipefront/revocation_test.go
+++ b/snipefront/revocation_test.go
@@ -12,17 +12,16 @@
 )
 
 // TestRevocationMonitor guards against a front that refuses requests with keys without a
-// line in its log, against a line for each look, and against one before the first
-// configuration, when requests are refused for another reason.
+// line in its log, against a line for each look, and against one before it accepts callers.
 func TestRevocationMonitor(t *testing.T) {
 	core, lines := observer.New(zap.InfoLevel)
-	loaded := false
-	m := &revocationMonitor{revocation: snipesync.NewRevocation(time.Second), loaded: func() bool { return loaded }, log: zap.New(core)}
+	serving := false
+	m := &revocationMonitor{revocation: snipesync.NewRevocation(time.Second), serving: func() bool { return serving }, log: zap.New(core)}
 	m.observe(0)
 	if lines.Len() != 0 {
-		t.Error("a line before the first configuration")
+		t.Error("a line before callers are accepted")
 	}
-	loaded = true
+	serving = true
 	m.observe(1)
 	m.observe(2)
 	if all := lines.TakeAll(); len(all) != 1 || all[0].Level != zap.WarnLevel || all[0].ContextMap()["everConfirmed"] != false {
