snipesync: the shortest bound on revocation does not count as none

Cause: four fifths of a bound of one nanosecond are rounded to 0, which means that revocation is not strict. The settings accept any positive revoke_ms, so that a wrong unit could turn the check off instead of refusing all requests with keys.

Change: the greatest age is at least one nanosecond if there is a bound.

Measured: before, TestRecent fails with a bound of 1 ns; after, it passes.

--- a/snipesync/revocation.go
+++ b/snipesync/revocation.go
@@ -42,7 +42,11 @@
 // SetBound changes the time within which keys have to be revoked. 0 means that
 // revocation is not strict.
 func (r *Revocation) SetBound(bound time.Duration) {
-	r.maxAge.Store(int64(revocationShare * float64(bound)))
+	maxAge := int64(revocationShare * float64(bound))
+	if bound > 0 {
+		maxAge = max(maxAge, 1) // 0 would mean that revocation is not strict
+	}
+	r.maxAge.Store(maxAge)
 }
 
 // Strict reports whether revocation is strict.
--- a/snipesync/revocation_test.go
+++ b/snipesync/revocation_test.go
@@ -73,6 +73,10 @@
 	if n := testing.AllocsPerRun(100, func() { r.Recent(limit) }); n != 0 {
 		t.Errorf("%v allocations", n)
 	}
+	r.SetBound(1)
+	if !r.Strict() || r.Recent(limit) {
+		t.Error("the shortest bound counts as none")
+	}
 	r.SetBound(0)
 	if !r.Recent(limit.Add(time.Hour)) {
 		t.Error("refuses although revocation is not strict")
