--- a/snipegate/tenantheaders_test.go
+++ b/snipegate/tenantheaders_test.go
@@ -11,6 +11,10 @@
 	"strings"
 	"testing"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
 	"github.com/snipemoor/snipemoor/snipecaller"
 	"github.com/snipemoor/snipemoor/snipetable"
 )
@@ -166,6 +170,27 @@
 	}
 }
 
+// TestPipelinedInvalidHeader guards against a pipelined request that is sent early although
+// the server rejects it: a target that ignores the space before a colon would receive a
+// forged tenant, or a key.
+func TestPipelinedInvalidHeader(t *testing.T) {
+	for _, line := range []string{"Tenant : forged", "Key : secret", "Ten ant: forged", "Other: x\rTenant: forged", "Other: x\x00", "Host: h"} {
+		address, received := startTenantFront(t, snipetable.Idempotent)
+		var text strings.Builder
+		for i, header := range []string{"", line + "\r\n"} {
+			fmt.Fprintf(&text, "GET / HTTP/1.1\r\nHost: h\r\nId: %d\r\nKey: %s\r\n%s\r\n", i, keyOfT, header)
+		}
+		responses := exchange(t, address, http.MethodGet, text.String(), 2)
+		if first, second := responses[0].StatusCode, responses[1].StatusCode; first != http.StatusOK || second != http.StatusBadRequest {
+			t.Errorf("%q: status %d and %d", line, first, second)
+		}
+		checkTenant(t, <-received, "t")
+		if len(received) != 0 {
+			t.Errorf("%q: a target received the request %v", line, <-received)
+		}
+	}
+}
+
 // TestRetryNamesTenant guards against a further attempt that does not name the tenant, or
 // that carries the key.
 func TestRetryNamesTenant(t *testing.T) {
@@ -190,3 +215,32 @@
 		t.Errorf("status %d, sent %+v", w.Code, r.sender.sent)
 	}
 }
+
+// TestTenantsInForceMeanwhile guards against a forged tenant, or a key, that reaches a target
+// because the request was admitted by a version without tenants and has waited for its body.
+func TestTenantsInForceMeanwhile(t *testing.T) {
+	r := newTestGate(t, snipetable.Upload, successResult("x"))
+	body := hookReader{strings.NewReader("body"), func() { r.gate.Tables.UpdateIfNewer(newTenantTable(9, snipetable.Upload, keyOfT)) }}
+	w := r.callWithKeys(http.MethodPost, "/", body, "k")
+	if w.Code != http.StatusOK || !slices.Equal(r.sender.sent[0].Omitted, []string{"Key", "Tenant"}) {
+		t.Errorf("status %d, sent %+v", w.Code, r.sender.sent)
+	}
+}
+
+// TestMalformedTrailer guards against a key in the log because the error of a malformed trailer
+// quotes it.
+func TestMalformedTrailer(t *testing.T) {
+	core, logs := observer.New(zapcore.DebugLevel)
+	r, _ := newTenantGate(t, snipetable.Upload)
+	r.gate.Log = zap.New(core)
+	server := httptest.NewServer(r.gate)
+	defer server.Close()
+	for _, trailer := range []string{"Key " + keyOfT, "Key: " + keyOfT + "\x01", "Key\x01: " + keyOfT} {
+		text := "POST / HTTP/1.1\r\nHost: h\r\nId: 1\r\nKey: " + keyOfT + "\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" + trailer + "\r\n\r\n"
+		resp := exchange(t, server.Listener.Addr().String(), http.MethodPost, text, 1)[0]
+		lines := logs.TakeAll()
+		if resp.StatusCode != http.StatusBadRequest || len(lines) != 1 || strings.Contains(fmt.Sprint(lines[0].ContextMap()), keyOfT) {
+			t.Errorf("%q: status %d, log %v", trailer, resp.StatusCode, lines)
+		}
+	}
+}
