snipeplacement: one pace for targets that started, were cold, rested, failed or came back

A target that was added or started anew got its full share at once, one that had rested got it 2 s later, and one that had failed after a single success, whatever it answered. Now a window of requests, which other fronts' loads count toward, rises with good answers and falls with refusals, failures and answers of four times the usual latency. The spread of fronts after a rest is kept and serves starts and evacuations too.

A cold target gets requests from as many fronts as half of its cold rate, each with an equal part, in place of one. Any second still has at most 1.5 times the rate.

Simulated refusals say so (Result.Refused).

--- a/snipeplacement/admission.go
+++ b/snipeplacement/admission.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"time"
 
 	"github.com/snipemoor/snipemoor/snipefleet"
 )
@@ -24,13 +23,15 @@
 
 // evaluate decides whether the request can be sent to a target now, and records the
 // reason and the time until it may be if not. It asks in this order: what the target
-// states about its rest, whether requests to it fail, its rate limit, whether it is cold,
-// and its load. Targets that leave are not in the view.
+// states about its rest, whether requests to it fail, its rate limit, its pace, whether it
+// is cold, and its load. Targets that leave are not in the view.
 func (s *selection) evaluate(t *snipefleet.Target) Candidate {
 	state := s.chooser.state(t)
 	s.chosen = state
+	state.slots = t.Slots
+	s.chooser.beginAfterEvacuation(s.view, t, state)
 	candidate := Candidate{Target: t, Load: state.estimatedLoad(s.now), LoadAge: s.now.Sub(state.reportedAt), Slowness: state.slowness(s.now)}
-	if left, resting := s.resting(t, state); resting {
+	if left := state.restRemaining(s.now); left > 0 {
 		candidate.SkipReason = ReasonResting
 		s.refusal.merge(ReasonResting, left)
 		return candidate
@@ -44,7 +45,16 @@
 		candidate.SkipReason = ReasonLimited
 		return candidate
 	}
-	if s.chooser.cold(s.now, s.view, t, s.query.Info) {
+	cold := s.chooser.cold(s.now, s.view, t, s.query.Info)
+	if cold {
+		state.pace.coldAt = s.now
+	}
+	if !state.admitsPace(s.now) {
+		candidate.SkipReason = ReasonPaced
+		s.refusal.merge(ReasonPaced, state.paceDelay(s.now))
+		return candidate
+	}
+	if cold {
 		if s.postponed.Target != nil || !s.chooser.acquireColdToken(s.now, s.view, t, state, s.query.Info) {
 			candidate.SkipReason = ReasonCold
 			s.refusal.merge(ReasonCold, coldRetryDelay)
@@ -74,20 +84,6 @@
 	return ReasonFull
 }
 
-// resting reports whether a target wants no requests from this front, or no more than it
-// has in flight while it returns, and the expected time until the target takes one.
-func (s *selection) resting(t *snipefleet.Target, state *targetState) (left time.Duration, resting bool) {
-	left = s.chooser.restRemaining(s.now, s.view, t, state)
-	switch {
-	case left > 0:
-		return left, true
-	case s.chooser.returning(s.now, s.view, t, state):
-		return state.interval(t), true
-	default:
-		return 0, false
-	}
-}
-
 // admitsLimit reports whether the rate limit of a target, if it states one, admits the
 // request. It is asked for targetsPerObject targets at most, so that objects do not
 // occupy the caches of many limited targets.
--- a/snipeplacement/chooser.go
+++ b/snipeplacement/chooser.go
@@ -28,8 +28,11 @@
 	// ReasonLimited means that this front has used up its part of the rate limit of the
 	// last remaining target.
 	ReasonLimited Reason = "targetsLimited"
+	// ReasonPaced means that the last remaining target is below full pace, and its window is
+	// used up.
+	ReasonPaced Reason = "targetsPaced"
 	// ReasonResting means that the last remaining target wants no requests from this front,
-	// or that this front returns to it slowly after such a time.
+	// or wanted none until now and this front returns a little later.
 	ReasonResting Reason = "targetsResting"
 	// ReasonLeft means that the target that was chosen is no longer in use.
 	ReasonLeft Reason = "targetLeft"
@@ -106,6 +109,8 @@
 	Latency time.Duration
 	// Load is the load that the response reports, or nil.
 	Load *Load
+	// Refused is true if the response states that the target has not run the request.
+	Refused bool
 	// Completed is true for a complete response. It ends a sequence of failures.
 	Completed bool
 	// Unreachable is true if no connection could be opened. It excludes the target at
@@ -140,6 +145,8 @@
 	mu       sync.Mutex
 	rankings rankingCache
 	states   map[string]*targetState
+	// numFronts is the number of fronts at the last choice.
+	numFronts int
 }
 
 // New returns a chooser for the front with the given name and place.
@@ -172,6 +179,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	sel := selection{chooser: c, now: now, view: v, query: q, refusal: Refusal{Reason: ReasonNoTarget, RetryAfter: noTargetRetryDelay}}
+	c.numFronts = len(v.Members())
 	largeBody := q.Route.Kind == snipetable.Upload
 	key := rankingKey{q.Service, q.Object, largeBody}
 	service := c.rankings.service(v, q.Service)
@@ -189,7 +197,7 @@
 		return Candidate{}, sel.buildRefusal()
 	}
 	service.demand.admit(index)
-	sel.chosen.inFlight++
+	sel.chosen.recordSent(now)
 	c.limits.Take(now, candidate.Target)
 	return candidate, nil
 }
@@ -237,7 +245,7 @@
 	defer c.mu.Unlock()
 	for _, l := range loads {
 		if s := c.states[l.Target]; s != nil {
-			s.recordLoad(now.Add(-l.Age), l.Requests, l.Slowness)
+			s.recordOthersLoad(now.Add(-l.Age), l)
 		}
 	}
 }
@@ -255,7 +263,13 @@
 	if s := c.known(t); s != nil {
 		return s
 	}
-	s := &targetState{born: t.Born, serviceTime: defaultServiceTime}
+	s := &targetState{born: t.Born, serviceTime: defaultServiceTime, slots: t.Slots}
+	if r := c.rankings.services[t.Service]; r != nil {
+		s.service = r.pace
+	}
+	if c.states[t.ID] != nil || t.ColdUntil > t.FirstReported || s.service != nil && s.service.isNew(t) {
+		s.pace.begin(c.startAt(t, s, t.FirstReported))
+	}
 	c.states[t.ID] = s
 	return s
 }
--- a/snipeplacement/cold.go
+++ b/snipeplacement/cold.go
@@ -1,36 +1,13 @@
 package snipeplacement
 
 import (
-	"time"
+	"slices"
 
 	"github.com/snipemoor/snipemoor/snipefleet"
 	"github.com/snipemoor/snipemoor/snipetable"
 	"github.com/snipemoor/snipemoor/snipetime"
 )
 
-const (
-	// suspectFailures is the number of consecutive failures after which a target is
-	// excluded.
-	suspectFailures = 2
-	// initialExclusion is how long a target is excluded at first. The time doubles
-	// with each further failure, up to maxExclusion.
-	initialExclusion = time.Second
-	maxExclusion     = 4 * time.Second
-)
-
-// suspect reports whether the target is excluded because requests to it failed. After
-// the exclusion, requests are sent to it one at a time until one succeeds.
-func (s *targetState) suspect(now snipetime.Instant) bool {
-	if s.failures < suspectFailures {
-		return false
-	}
-	wait := maxExclusion
-	if more := s.failures - suspectFailures; more < 8 {
-		wait = min(initialExclusion<<more, maxExclusion)
-	}
-	return now.Sub(s.failedAt) < wait || s.inFlight > 0
-}
-
 // cold reports whether a target is cold, or may be: it reports so itself, or the
 // evacuation of its failure domain ended less than info.ColdDuration ago.
 func (c *Chooser) cold(now snipetime.Instant, v *snipefleet.View, t *snipefleet.Target, info *snipetable.Service) bool {
@@ -45,29 +22,35 @@
 }
 
 // acquireColdToken reports whether this front may send a request to a cold target now,
-// and if so takes a token from the target's bucket. Only one front sends to a cold
-// target, so that the sum over all fronts stays below info.ColdRate.
+// and if so takes a token from the target's bucket. The senders have equal parts of the
+// rate. Since each may send one request more than its part in a second, there is a sender
+// for every two requests per second, and the sum over all fronts stays at 1.5 times the rate.
 func (c *Chooser) acquireColdToken(now snipetime.Instant, v *snipefleet.View, t *snipefleet.Target, s *targetState, info *snipetable.Service) bool {
-	return coldSender(v.Members(), t) == c.name && s.coldBucket.tryTake(now, info.ColdRate)
+	n, sends := coldSenders(v.Members(), t, c.name, max(int(info.ColdRate/2), 1))
+	return sends && s.coldBucket.tryTake(now, info.ColdRate/float64(n))
 }
 
-// coldSender returns the name of the front that sends to a cold target, chosen by
-// rendezvous hashing among the fronts of the target's region, or among all fronts if
-// the region has none.
-func coldSender(members []snipefleet.Member, t *snipefleet.Target) string {
-	name, best, bestIsLocal := "", uint64(0), false
+// coldSenders returns the number of fronts that send to a cold target, at most limit, and
+// whether the front with the given name is one of them. They are chosen by rendezvous hashing
+// among the fronts of the target's region, or among all fronts if the region has none.
+func coldSenders(members []snipefleet.Member, t *snipefleet.Target, name string, limit int) (n int, sends bool) {
+	isLocal := func(m snipefleet.Member) bool { return m.Place.Region == t.Place.Region }
+	anyLocal := slices.ContainsFunc(members, isLocal)
+	own, better := snipefleet.RendezvousWeight(name, t.ID), 0
 	for i := range members {
 		m := &members[i]
-		local := m.Place.Region == t.Place.Region
-		if bestIsLocal && !local {
+		if anyLocal && !isLocal(*m) {
 			continue
 		}
-		h := snipefleet.RendezvousWeight(m.Name, t.ID)
-		if name == "" || local && !bestIsLocal || h > best {
-			name, best, bestIsLocal = m.Name, h, local
+		n++
+		switch {
+		case m.Name == name:
+			sends = true
+		case snipefleet.RendezvousWeight(m.Name, t.ID) > own:
+			better++
 		}
 	}
-	return name
+	return min(n, limit), sends && better < limit
 }
 
 // tokenBucket is a token bucket of capacity one. It starts full.
--- a/snipeplacement/ranking.go
+++ b/snipeplacement/ranking.go
@@ -45,8 +45,9 @@
 	// smallBodyWeights and largeBodyWeights are the weights of the targets for
 	// requests of that kind. They are nil until they are needed.
 	smallBodyWeights, largeBodyWeights []float64
-	// demand outlives the rankings.
+	// demand and pace outlive the rankings.
 	demand *demand
+	pace   *servicePace
 }
 
 // best returns the best targets of an object in order, at most cachedTargets.
@@ -79,11 +80,11 @@
 	if s != nil && snipefleet.SameSlice(s.targets, targets) && snipefleet.SameSlice(s.members, members) && s.limitsVersion == version && len(s.best) < maxCachedRankings {
 		return s
 	}
-	recent := &demand{}
+	recent, known := &demand{}, newServicePace(targets)
 	if s != nil {
-		recent = s.demand
+		recent, known = s.demand, s.pace
 	}
-	s = &serviceRankings{targets: targets, members: members, limitsVersion: version, best: make(map[rankingKey][]*snipefleet.Target), demand: recent}
+	s = &serviceRankings{targets: targets, members: members, limitsVersion: version, best: make(map[rankingKey][]*snipefleet.Target), demand: recent, pace: known}
 	s.slots, s.shares = r.usableSlots(targets)
 	if r.services == nil {
 		r.services = make(map[string]*serviceRankings)
--- a/snipeplacement/sim_test.go
+++ b/snipeplacement/sim_test.go
@@ -271,7 +271,7 @@
 		st.pending = append(st.pending, r)
 	default:
 		s.recordStatement(r.front, target)
-		c.RecordResult(s.now, target, Result{Load: s.load(st)})
+		c.RecordResult(s.now, target, Result{Load: s.load(st), Refused: true})
 		if s.counted(r) {
 			s.shed++
 			s.refused++
