--- a/snipeplacement/admission.go
+++ b/snipeplacement/admission.go
@@ -23,8 +23,8 @@
 
 // evaluate decides whether the request can be sent to a target now, and records the
 // reason and the time until it may be if not. It asks in this order: what the target
-// states about its rest, whether requests to it fail, its rate limit, its pace, whether it
-// is cold, and its load. Targets that leave are not in the view.
+// states about its rest, whether requests to it fail, its rate limit, whether it is cold,
+// its pace, and its load. Targets that leave are not in the view.
 func (s *selection) evaluate(t *snipefleet.Target) Candidate {
 	state := s.chooser.state(t)
 	s.chosen = state
@@ -45,22 +45,18 @@
 		candidate.SkipReason = ReasonLimited
 		return candidate
 	}
-	cold := s.chooser.cold(s.now, s.view, t, s.query.Info)
-	if cold {
-		state.pace.coldAt = s.now
+	if until := s.chooser.coldUntil(s.now, s.view, t, s.query.Info); until != 0 {
+		if s.postponed.Target != nil || !s.chooser.admitsCold(s.now, until, s.view, t, state, s.query.Info) {
+			candidate.SkipReason = ReasonCold
+			s.refusal.merge(ReasonCold, coldRetryDelay)
+		}
+		return candidate
 	}
 	if !state.admitsPace(s.now) {
 		candidate.SkipReason = ReasonPaced
 		s.refusal.merge(ReasonPaced, state.paceDelay(s.now))
 		return candidate
 	}
-	if cold {
-		if s.postponed.Target != nil || !s.chooser.acquireColdToken(s.now, s.view, t, state, s.query.Info) {
-			candidate.SkipReason = ReasonCold
-			s.refusal.merge(ReasonCold, coldRetryDelay)
-		}
-		return candidate
-	}
 	candidate.SkipReason = s.evaluateLoad(t, state, &candidate)
 	return candidate
 }
--- a/snipeplacement/cold.go
+++ b/snipeplacement/cold.go
@@ -8,26 +8,36 @@
 	"github.com/snipemoor/snipemoor/snipetime"
 )
 
-// cold reports whether a target is cold, or may be: it reports so itself, or the
-// evacuation of its failure domain ended less than info.ColdDuration ago.
-func (c *Chooser) cold(now snipetime.Instant, v *snipefleet.View, t *snipefleet.Target, info *snipetable.Service) bool {
+// coldUntil returns when a target stops being cold, or 0 if it is not: it reports so itself,
+// or the evacuation of its failure domain ended less than info.ColdDuration ago.
+func (c *Chooser) coldUntil(now snipetime.Instant, v *snipefleet.View, t *snipefleet.Target, info *snipetable.Service) snipetime.Instant {
 	if info == nil || info.ColdRate <= 0 {
-		return false
+		return 0
+	}
+	until := t.ColdUntil
+	if at, ok := v.EvacuationEnd(t.Place.Domain); ok {
+		until = max(until, at.Add(info.ColdDuration))
 	}
-	if now.Before(t.ColdUntil) {
-		return true
+	if !now.Before(until) {
+		return 0
 	}
-	at, ok := v.EvacuationEnd(t.Place.Domain)
-	return ok && now.Sub(at) < info.ColdDuration
+	return until
 }
 
-// acquireColdToken reports whether this front may send a request to a cold target now,
-// and if so takes a token from the target's bucket. The senders have equal parts of the
-// rate. Since each may send one request more than its part in a second, there is a sender
-// for every two requests per second, and the sum over all fronts stays at 1.5 times the rate.
-func (c *Chooser) acquireColdToken(now snipetime.Instant, v *snipefleet.View, t *snipefleet.Target, s *targetState, info *snipetable.Service) bool {
+// admitsCold reports whether this front may send a request to a cold target now, and if so
+// takes a token from the target's bucket. The senders have equal parts of the rate and
+// begin at once, all others after the cold time. Since each sender may send one request more
+// than its part in a second, there is a sender for every two requests per second, and the sum
+// over all fronts stays at 1.5 times the rate. The caller holds the lock.
+func (c *Chooser) admitsCold(now, until snipetime.Instant, v *snipefleet.View, t *snipefleet.Target, s *targetState, info *snipetable.Service) bool {
 	n, sends := coldSenders(v.Members(), t, c.name, max(int(info.ColdRate/2), 1))
-	return sends && s.coldBucket.tryTake(now, info.ColdRate/float64(n))
+	if !sends {
+		s.pace.begin(c.startAt(t, s, until))
+		return false
+	}
+	s.pace.startBy(now)
+	s.pace.coldAt = now
+	return s.admitsPace(now) && s.coldBucket.tryTake(now, info.ColdRate/float64(n))
 }
 
 // coldSenders returns the number of fronts that send to a cold target, at most limit, and
--- a/snipeplacement/pace.go
+++ b/snipeplacement/pace.go
@@ -77,6 +77,13 @@
 	*p = pace{reduced: true, window: initialWindow, from: from, probeAt: from, coldAt: p.coldAt}
 }
 
+// startBy lets this front send at once if it did not begin before.
+func (p *pace) startBy(now snipetime.Instant) {
+	if p.reduced && now.Before(p.from) {
+		p.from, p.probeAt = now, now
+	}
+}
+
 // fall lowers the window after a bad answer, at most once in a service time, because the
 // answers to requests that were sent together tell the same.
 func (p *pace) fall(now snipetime.Instant, serviceTime time.Duration) {
