--- a/snipeplacement/admission.go
+++ b/snipeplacement/admission.go
@@ -54,6 +54,8 @@
 	}
 	if !state.admitsPace(s.now) {
 		candidate.SkipReason = ReasonPaced
+		s.paced = cmp.Or(s.paced, t)
+		s.numPaced++
 		s.refusal.merge(ReasonPaced, state.paceDelay(s.now))
 		return candidate
 	}
--- a/snipeplacement/chooser.go
+++ b/snipeplacement/chooser.go
@@ -187,7 +187,7 @@
 	sel.limitFactor, sel.ranked = service.demand.limitFactor(index), service.demand.ranked()
 	sel.urgent = sel.ranked && index == 0
 	candidate, found := sel.firstAdmitting(c.rankings.bestOf(service, v, key))
-	if total := len(v.Targets(q.Service)); !found && sel.considered < targetsPerObject && total > cachedTargets {
+	if total := len(v.Targets(q.Service)); !found && !sel.exhausted() && total > cachedTargets {
 		candidate, found = sel.firstAdmitting(c.rankings.all(v, key)[cachedTargets:])
 	}
 	if !found {
@@ -267,7 +267,7 @@
 	if r := c.rankings.services[t.Service]; r != nil {
 		s.service = r.pace
 	}
-	if c.states[t.ID] != nil || t.ColdUntil > t.FirstReported || s.service != nil && s.service.isNew(t) {
+	if s.service != nil && s.service.startsSlowly(t) {
 		s.pace.begin(c.startAt(t, s, t.FirstReported))
 	}
 	c.states[t.ID] = s
--- a/snipeplacement/pace.go
+++ b/snipeplacement/pace.go
@@ -200,6 +200,9 @@
 type servicePace struct {
 	// since is when the first of the targets was first reported.
 	since snipetime.Instant
+	// mostNew is set if more than half of the targets were added lately. Then no target is
+	// held back, since there are no others that could serve its requests.
+	mostNew bool
 	// usual is the moving average of the latency at targets at full pace, or 0.
 	usual time.Duration
 }
@@ -228,6 +231,26 @@
 	return s.usual > 0 && float64(latency) > slowLatency*float64(s.usual)
 }
 
+// startsSlowly reports whether a target of which this front knows nothing begins below full
+// pace: it is new, or cold.
+func (s *servicePace) startsSlowly(t *snipefleet.Target) bool {
+	return t.ColdUntil > t.FirstReported || s.isNew(t) && !s.mostNew
+}
+
+// countNew updates mostNew for the targets of the service.
+func (s *servicePace) countNew(targets []*snipefleet.Target) {
+	newest, n := s.since, 0
+	for _, t := range targets {
+		newest = max(newest, t.FirstReported)
+	}
+	for _, t := range targets {
+		if s.isNew(t) && newest.Sub(t.FirstReported) < fullPaceAfter {
+			n++
+		}
+	}
+	s.mostNew = n > len(targets)/2
+}
+
 // isNew reports whether a target was added after this front learned the running ones.
 func (s *servicePace) isNew(t *snipefleet.Target) bool {
 	return t.FirstReported.Sub(s.since) >= listingTime
--- a/snipeplacement/pace_test.go
+++ b/snipeplacement/pace_test.go
@@ -107,7 +107,8 @@
 }
 
 // TestPaceOfRunningTargets guards against a front that, having started, treats targets which
-// have run for long as new, and against one that does not notice those that are.
+// have run for long as new, against one that does not notice those that are, and against
+// callers who are refused because most targets have just started.
 func TestPaceOfRunningTargets(t *testing.T) {
 	report := func(id string, born int64) snipefleet.TargetReport {
 		return snipefleet.TargetReport{ID: id, Service: "s", Address: id, Slots: slots, Born: born}
@@ -116,6 +117,7 @@
 	started := 100 * second
 	r.UpdateTarget(started, report("a", 1))
 	r.UpdateTarget(started+second, report("b", 0))
+	r.UpdateTarget(started+second, report("d", 1))
 	c := New("f", snipefleet.Place{}, noLimits())
 	q := &Query{Service: "s", Route: &snipetable.Route{}, Object: "o"}
 	paced := func(now snipetime.Instant) int {
@@ -139,6 +141,11 @@
 	if n := paced(started + 21*second); n != 2 {
 		t.Errorf("%d targets below full pace, want the added and the restarted one", n)
 	}
+	r.UpdateTarget(started+22*second, report("b", 1))
+	r.UpdateTarget(started+22*second, report("e", 1))
+	if n := paced(started + 22*second); n != 2 {
+		t.Errorf("%d targets below full pace, want no further ones when most are new", n)
+	}
 	later := (started + 21*second).Add(fullPaceAfter + maxStartSpread)
 	if n := c.NumPaced(later); n != 0 {
 		t.Errorf("%d targets below full pace without requests for %v", n, fullPaceAfter)
--- a/snipeplacement/rest.go
+++ b/snipeplacement/rest.go
@@ -114,7 +114,7 @@
 	if soonest == nil {
 		return 0
 	}
-	return soonest.retryAfterRest(now, now.Add(remaining), soonestTarget)
+	return soonest.retryNotBefore(now, now.Add(remaining), soonestTarget)
 }
 
 // restRemaining returns the time until this front begins to return to a target that
@@ -123,9 +123,9 @@
 	return max(s.rest.from.Sub(now), 0)
 }
 
-// retryAfterRest reserves a retry time for a caller, not before the time at, and returns
-// the delay until then.
-func (s *targetState) retryAfterRest(now, at snipetime.Instant, t *snipefleet.Target) time.Duration {
+// retryNotBefore reserves a retry time for a caller, not before the time at, and returns the
+// delay until then.
+func (s *targetState) retryNotBefore(now, at snipetime.Instant, t *snipefleet.Target) time.Duration {
 	retryAt := max(at, min(s.nextRetryAt, at.Add(maxFullRetryDelay)))
 	s.nextRetryAt = retryAt.Add(s.interval(t))
 	return retryAt.Sub(now)
