--- a/snipefeed/confirmation_test.go
+++ b/snipefeed/confirmation_test.go
@@ -85,11 +85,11 @@
 	slow := delayedClock{clock, 200 * time.Millisecond}
 	server, address := newNode(t, "server")
 	items := NewLog()
-	Serve(server, items, &fakeLoads{}, &fakeLimits{}, slow)
+	Serve(server, items, &fakeLoads{}, &fakeLimits{}, &fakeTenants{}, slow)
 	server.Start()
 	client, _ := newNode(t, "client")
 	client.Start()
-	source := NewPeerSources(client, &fakeLoads{}, &fakeLimits{}, slow).Source(address)
+	source := NewPeerSources(client, &fakeLoads{}, &fakeLimits{}, &fakeTenants{}, slow).Source(address)
 	began := clock.Now()
 	items.Replace(clock.Now(), Batch{Position: Position{Revision: 4}})
 	b, err := source.List(context.Background())
--- a/snipefront/front.go
+++ b/snipefront/front.go
@@ -14,7 +14,6 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/zap"
-	"golang.org/x/sync/semaphore"
 
 	"github.com/snipemoor/snipemoor/platform"
 	"github.com/snipemoor/snipemoor/snipeconn"
@@ -39,12 +38,6 @@
 	// memoryLimitShare is the fraction of the memory of the process that is set as
 	// the soft limit of the garbage collector.
 	memoryLimitShare = 0.6
-	// bodyMemoryShare is the fraction of the memory of the process for the bodies of
-	// requests and responses.
-	bodyMemoryShare = 0.25
-	// defaultMemoryBytes is the assumed memory of the process if the settings state
-	// none.
-	defaultMemoryBytes = 256 << 20
 	// maxAuxiliaryHeaderBytes bounds the headers of requests to the directory,
 	// readiness and metrics. auxiliaryTimeout bounds the time to read such a request,
 	// and the time to write its response.
@@ -69,6 +62,7 @@
 	pools   *snipeconn.Pools
 	chooser *snipeplacement.Chooser
 	quotas  *snipequota.Table
+	tenants *snipequota.TenantQuotas
 	gate    *snipegate.Gate
 	// node makes and serves calls between fronts. It is nil if the settings contain no
 	// address for them.
@@ -79,6 +73,8 @@
 	// revocation bounds the age of the configuration; monitor logs and counts it.
 	revocation *snipesync.Revocation
 	monitor    *revocationMonitor
+	// serving is set when the front begins to accept callers, and stays set.
+	serving atomic.Bool
 }
 
 // New returns a front. It listens for other fronts at once; everything else starts
@@ -91,18 +87,20 @@
 		return nil, err
 	}
 	memory := newBodyMemory(s.MemoryBytes)
+	responseMemory := newMemoryShare(memory, s.MemoryBytes)
 	f := &Front{
 		loadSettings: load, metricsAddress: metrics, log: log, registry: prometheus.NewRegistry(),
 		store: platform.NewStore(s.Store), items: snipefeed.NewLog(), decoder: platform.NewDecoder(s.Regions),
 		clock: snipetime.New(), fleet: snipefleet.New(), tables: &snipetable.Holder{},
-		pools: snipeconn.New(snipeconn.Settings{Memory: memory}),
+		pools: snipeconn.New(snipeconn.Settings{Memory: responseMemory}),
 	}
 	self := snipefleet.Member{Name: s.Name, Address: s.CallerListen, Peer: s.PeerListen, Place: s.Place, Cores: s.Cores}
 	f.quotas = snipequota.New(self, f.fleet, log)
+	f.tenants = snipequota.NewTenantQuotas(self, f.fleet, tenantsInForce{f.tables}, log)
 	f.chooser = snipeplacement.New(s.Name, s.Place, f.quotas)
 	f.settings.Store(s)
 	f.revocation = snipesync.NewRevocation(revocationBound(s.Bounds))
-	f.monitor = &revocationMonitor{revocation: f.revocation, loaded: func() bool { return f.tables.Current() != nil }, log: log}
+	f.monitor = &revocationMonitor{revocation: f.revocation, serving: f.serving.Load, log: log}
 	if err := f.setUpFollower(s, self); err != nil {
 		return nil, err
 	}
@@ -111,7 +109,7 @@
 	f.gate = snipegate.New(snipegate.Dependencies{
 		HeaderCodec: platform.Headers{}, Tables: f.tables, Fleet: f.fleet, Chooser: f.chooser,
 		Limits: f.quotas, Sender: f.pools, Clock: f.clock, Metrics: snipegate.NewMetrics(f.registry), Log: requests,
-		BodyMemory: memory, Revocation: f.revocation,
+		BodyMemory: memory, ResponseMemory: responseMemory, Revocation: f.revocation, Quotas: f.tenants,
 		RetryBudget: func() sniperetry.BudgetSettings {
 			return retryBudget(f.settings.Load().Bounds, len(f.fleet.View().Members()))
 		},
@@ -131,28 +129,18 @@
 		Registry: f.fleet, Tables: f.tables, Revocation: f.revocation, Clock: f.clock, Log: f.log,
 	}
 	if s.PeerListen != "" {
-		node, err := newNode(s, d.Items, f.chooser, f.quotas, f.clock, f.log)
+		node, err := newNode(s, d.Items, f.chooser, f.quotas, f.tenants, f.clock, f.log)
 		if err != nil {
 			return err
 		}
 		f.node = node
 		f.registry.MustRegister(node.Collectors()...)
-		d.Selector, d.Peers = snipefeed.NewSourceSelector(self, s.Seeds), snipefeed.NewPeerSources(node, f.chooser, f.quotas, f.clock)
+		d.Selector, d.Peers = snipefeed.NewSourceSelector(self, s.Seeds), snipefeed.NewPeerSources(node, f.chooser, f.quotas, f.tenants, f.clock)
 	}
 	f.follower = snipesync.NewFollower(d)
 	return nil
 }
 
-// newBodyMemory returns the memory budget, in bytes, for the bodies of requests and
-// responses. process is the memory of the process in bytes, or zero if it is not
-// known.
-func newBodyMemory(process int64) *semaphore.Weighted {
-	if process == 0 {
-		process = defaultMemoryBytes
-	}
-	return semaphore.NewWeighted(int64(bodyMemoryShare * float64(process)))
-}
-
 // registerStateMetrics registers gauges of what the front believes.
 func (f *Front) registerStateMetrics() {
 	for _, g := range []struct {
@@ -162,6 +150,7 @@
 		{"snipemoor_limited_targets", "Targets that state a rate limit.", func() float64 { return float64(f.quotas.NumLimited()) }},
 		{"snipemoor_resting_targets", "Targets that want no requests from this front.", func() float64 { return float64(f.chooser.NumResting(f.clock.Now())) }},
 		{"snipemoor_paced_targets", "Targets below full pace.", func() float64 { return float64(f.chooser.NumPaced(f.clock.Now())) }},
+		{"snipemoor_tenants_over_quota", "Tenants of which this front lately refused requests above the quota.", func() float64 { return float64(f.tenants.NumOver()) }},
 		{"snipemoor_store_epoch", "Restorations of the store, as it states them.", func() float64 { return float64(f.items.Position().Epoch) }},
 		{"snipemoor_store_revision", "Revision of the store up to which changes are applied.", func() float64 { return float64(f.items.Position().Revision) }},
 		{"snipemoor_configuration_version", "Version of the configuration in force, 0 before the first one.", f.configurationVersion},
@@ -195,6 +184,9 @@
 	opened := func() float64 { n, _ := f.pools.Counts(); return float64(n) }
 	reused := func() float64 { _, n := f.pools.Counts(); return float64(n) }
 	f.registry.MustRegister(
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "snipemoor_quota_refusals_total", Help: "Requests above the quotas of their tenants.",
+		}, func() float64 { return float64(f.tenants.Refusals()) }),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "snipemoor_target_connections_opened_total", Help: "Connections opened to targets.",
 		}, opened),
--- a/snipegate/gate.go
+++ b/snipegate/gate.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -114,9 +111,11 @@
 	Clock       Clock
 	Metrics     *Metrics
 	Log         *zap.Logger
-	// BodyMemory is the budget for the bodies of all requests, and for the
-	// responses to pipelined requests.
+	// BodyMemory is the budget for the bodies of all requests.
 	BodyMemory Memory
+	// ResponseMemory is the budget for the responses to pipelined requests. It should
+	// leave a part of BodyMemory free, since callers decide how long it is held.
+	ResponseMemory Memory
 	// RetryBudget returns the settings of a retry budget. It is called before each use
 	// of one, since the part of this front changes with the number of fronts.
 	RetryBudget func() sniperetry.BudgetSettings
@@ -180,59 +179,6 @@
 	g.recordRequest(q)
 }
 
-// recordRequest logs and counts a request that has ended.
-func (g *Gate) recordRequest(q *request) {
-	elapsed := time.Since(q.arrived)
-	kind := "none"
-	fields := []zap.Field{
-		zap.String("request", q.call.ID), zap.String("outcome", string(q.outcome)), zap.Int("status", q.status),
-		zap.Duration("took", elapsed), zap.Int("attempts", len(q.tried)), zap.Duration("wait", q.call.Timeout),
-	}
-	if q.startedEarly {
-		fields = append(fields, zap.Bool("ahead", true))
-	}
-	if q.pipelineWait > minLoggedWait {
-		fields = append(fields, zap.Duration("waited", q.pipelineWait))
-	}
-	if q.route != nil {
-		kind = q.route.Kind.String()
-		fields = append(fields, zap.String("route", q.route.Name), zap.String("service", q.service),
-			zap.Uint64("version", q.table.Version()), zap.String("object", q.call.Object))
-	}
-	if n := len(q.tried); n > 0 {
-		last := q.tried[n-1]
-		fields = append(fields, zap.String("target", last.ID), zap.Float64("load", q.chosen.Load), zap.Duration("loadAge", q.chosen.LoadAge),
-			zap.Bool("begun", q.attempts.promise() == nil), zap.Bool("reusedConnection", q.reused))
-		if s, share := g.Limits.Current(last); s.Limited {
-			fields = append(fields, zap.Float64("limit", s.PerSecond), zap.Duration("limitAge", g.Clock.Now().Sub(s.At)), zap.Float64("share", share))
-		}
-	}
-	if q.tenant != nil {
-		fields = append(fields, zap.String("tenant", q.tenant.Name))
-	}
-	if statesRetryAfter(q.status) {
-		fields = append(fields, zap.Duration("retryAfter", q.retryAfter))
-	}
-	if impliesNotRun(q.status) && q.route != nil {
-		fields = append(fields, zap.String("kind", kind),
-			zap.Array("notRun", q.attempts), zap.Int("offered", len(q.attempts)), zap.String("caller", q.r.RemoteAddr))
-	}
-	if q.refusedBefore > 0 {
-		fields = append(fields, zap.Int("refusedBefore", q.refusedBefore))
-	}
-	if q.refusal != nil {
-		fields = append(fields, zap.Array("looks", loggedCandidates(q.refusal.Candidates)))
-	}
-	if q.cause != nil {
-		fields = append(fields, zap.Error(q.cause))
-	}
-	g.Log.Info("request", fields...)
-	if impliesNotRun(q.status) {
-		g.Metrics.countPromise(q.attempts.promise())
-	}
-	g.Metrics.observe(kind, q.outcome, elapsed)
-}
-
 // spendRetry charges one retry to the budget of a service, and reports whether the
 // budget allowed it.
 func (g *Gate) spendRetry(service string) bool {
@@ -261,178 +207,3 @@
 	b.Configure(g.RetryBudget(), now)
 	return b
 }
-
-// request is the state of one request of a caller while it is handled.
-type request struct {
-	gate *Gate
-	w    http.ResponseWriter
-	r    *http.Request
-	// arrived is when the request arrived, and pipelineWait is how long it waited for
-	// the responses to earlier requests on its connection.
-	arrived      time.Time
-	pipelineWait time.Duration
-	// startedEarly is set if the request was sent before the responses to earlier
-	// requests on its connection were delivered.
-	startedEarly bool
-	call         RequestHeaders
-
-	// checkedAt is when table was read, or 0 if nothing depends on it. recent is set if
-	// table contains all revocations that must be in force at that time.
-	checkedAt snipetime.Instant
-	recent    bool
-	table     *snipetable.Table
-	route     *snipetable.Route
-	// tenant is the tenant of the key, or nil for a request that needs none.
-	tenant *snipetable.Tenant
-	// charged is the tenant of whose quota the request holds a token, or nil.
-	charged *snipetable.Tenant
-	service string
-	uri     string
-	// spreadKey is the random affinity key of a request without an object.
-	spreadKey string
-	body      []byte
-	// reservedBytes is the body memory that the request has reserved.
-	reservedBytes int64
-	// deadline is the time at which attempts end and no retry begins.
-	deadline time.Time
-	// tried are the targets of all attempts, in order.
-	tried []*snipefleet.Target
-	// excluded are the targets that are not chosen again, nor others at their addresses.
-	excluded []*snipefleet.Target
-	// refusedBefore is the number of targets that refused an earlier request with the same
-	// identifier.
-	refusedBefore int
-	// reused is set if the last attempt used a kept connection.
-	reused bool
-	// chosen is the target of the last attempt with its load when it was chosen;
-	// refusal is set if no target was available.
-	chosen  snipeplacement.Candidate
-	refusal *snipeplacement.Refusal
-	// attempts records all attempts, including those that were not sent.
-	attempts attemptRecord
-	// retryDelay is the delay before a retry by the caller that the last refusal of a
-	// target implies; zero means none.
-	retryDelay time.Duration
-	// retryAfter is the delay in the Retry-After header.
-	retryAfter time.Duration
-
-	outcome Outcome
-	status  int
-	cause   error
-}
-
-// serve handles the request from admission to the response.
-func (q *request) serve() {
-	if !q.admit() {
-		return
-	}
-	if !q.readBody() {
-		return
-	}
-	if revoked := q.recheckKey(); revoked != "" {
-		q.refuse(revoked, disabledRetryDelay)
-		return
-	}
-	q.service = q.route.PickService(rand.Float64())
-	q.gate.recordFirstAttempt(q.service)
-	q.runAttempts()
-}
-
-// admit determines the route, the tenant and the deadline. It refuses requests that cannot
-// be routed, are not allowed or have no time left, and then returns false.
-func (q *request) admit() bool {
-	if q.table == nil {
-		q.checkedAt, q.recent, q.table = q.gate.configuration()
-	}
-	if q.table == nil {
-		q.refuse(OutcomeNoConfiguration, time.Second)
-		return false
-	}
-	if q.call.ID == "" {
-		q.refuse(OutcomeNoID, 0)
-		return false
-	}
-	q.uri = requestURI(q.r)
-	q.route = matchRoute(q.table, q.r)
-	if q.route == nil {
-		q.refuse(OutcomeNoRoute, 0)
-		return false
-	}
-	if !q.authenticate() {
-		return false
-	}
-	wait := q.route.Timeout
-	if q.call.Timeout > 0 {
-		wait = min(wait, q.call.Timeout)
-	}
-	q.deadline = q.arrived.Add(wait)
-	if !time.Now().Before(q.deadline) {
-		q.refuse(OutcomeTimeout, 0)
-		return false
-	}
-	if q.gate.rejectsWhileStopping(time.Now(), q.deadline) {
-		q.refuse(OutcomeStopping, 0)
-		return false
-	}
-	if !q.chargeQuota() {
-		return false
-	}
-	// A response that is ready at the deadline can still be written.
-	q.setConnDeadline("write", http.NewResponseController(q.w).SetWriteDeadline, q.deadline.Add(writeGrace))
-	return true
-}
-
-// minLoggedWait is the pipelineWait above which the wait is logged.
-const minLoggedWait = time.Millisecond
-
-// writeGrace is how long after the deadline of a request its response may still be
-// written to the caller.
-const writeGrace = 5 * time.Second
-
-// setConnDeadline calls set, which sets the read or the write deadline of the
-// caller's connection, and logs an error under the given name.
-func (q *request) setConnDeadline(name string, set func(time.Time) error, at time.Time) {
-	if err := set(at); err != nil {
-		q.gate.Log.Warn("deadline of a caller's connection is not set", zap.String("request", q.call.ID),
-			zap.String("deadline", name), zap.Error(err))
-	}
-}
-
-// matchRoute returns the route of a request, or nil if none matches.
-func matchRoute(table *snipetable.Table, r *http.Request) *snipetable.Route {
-	path, _, _ := strings.Cut(requestURI(r), "?")
-	return table.Match(hostName(r.Host), path)
-}
-
-// requestURI returns the path and query as the caller sent them. A caller may
-// also send an absolute URI (RFC 9112, section 3.2.2).
-func requestURI(r *http.Request) string {
-	if strings.HasPrefix(r.RequestURI, "/") {
-		return r.RequestURI
-	}
-	return r.URL.RequestURI()
-}
-
-// hostName returns the host of a Host header in lower case, without the port.
-func hostName(host string) string {
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
-	}
-	return strings.ToLower(host)
-}
-
-// refuse writes a response of the front itself, with retryAfter raised to
-// minRetryAfter.
-func (q *request) refuse(o Outcome, retryAfter time.Duration) {
-	q.outcome = o
-	q.retryAfter = max(retryAfter, minRetryAfter)
-	if q.call.ID != "" {
-		// The caller can tell by it to which of its requests the refusal belongs.
-		q.w.Header().Set(q.gate.HeaderCodec.IDHeader(), q.call.ID)
-	}
-	p := q.attempts.promise()
-	if p != nil {
-		q.returnToken()
-	}
-	q.status = writeRefusal(q.w, o, p, q.retryAfter)
-}
--- a/snipetarget/repeatedshed_test.go
+++ b/snipetarget/repeatedshed_test.go
@@ -18,12 +18,12 @@
 // RoundTrip implements http.RoundTripper.
 func (r repeatingTransport) RoundTrip(req *http.Request) (*http.Response, error) {
 	for _, text := range r.written {
-		conn := &trackedConn{Conn: &discardingConn{}, release: func() {}}
+		conn := newTrackedConn(&discardingConn{}, func() {})
 		httptrace.ContextClientTrace(req.Context()).GotConn(httptrace.GotConnInfo{Conn: conn})
 		// An error means that the connection is sealed.
 		_, _ = conn.Write([]byte(text))
 	}
-	return &http.Response{StatusCode: http.StatusServiceUnavailable, Header: http.Header{notRunHeader: {"1"}}, Body: http.NoBody}, nil
+	return &http.Response{Status: "503 Service Unavailable", StatusCode: http.StatusServiceUnavailable, Header: http.Header{notRunHeader: {"1"}}, Body: http.NoBody}, nil
 }
 
 // discardingConn is a connection that discards what is written to it.
