snipeplacement: cold targets and starts count the fronts that callers use

Cause: where the directory names only large fronts, most fronts get no requests, but two fronts of all were chosen to send to a cold target, and the fronts began one after the other in an order over all 78. A cold target mostly had senders without requests, and a new one was left idle for up to two seconds. The tests of snipeplacement, snipefront and snipefleet pass.

--- a/snipeplacement/chooser.go
+++ b/snipeplacement/chooser.go
@@ -145,7 +145,10 @@
 	mu       sync.Mutex
 	rankings rankingCache
 	states   map[string]*targetState
-	// numFronts is the number of fronts at the last choice.
+	// members are the fronts of the last look at them, and large the large ones, or nil if
+	// callers use all.
+	members, large []snipefleet.Member
+	// numFronts is the number of fronts that callers use, at the last choice.
 	numFronts int
 }
 
@@ -179,7 +182,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	sel := selection{chooser: c, now: now, view: v, query: q, refusal: Refusal{Reason: ReasonNoTarget, RetryAfter: noTargetRetryDelay}}
-	c.numFronts = len(v.Members())
+	c.numFronts = len(c.callerFronts(v))
 	largeBody := q.Route.Kind == snipetable.Upload
 	key := rankingKey{q.Service, q.Object, largeBody}
 	service := c.rankings.service(v, q.Service)
--- a/snipeplacement/cold.go
+++ b/snipeplacement/cold.go
@@ -30,7 +30,7 @@
 // than its part in a second, there is a sender for every two requests per second, and the sum
 // over all fronts stays at 1.5 times the rate. The caller holds the lock.
 func (c *Chooser) admitsCold(now, until snipetime.Instant, v *snipefleet.View, t *snipefleet.Target, s *targetState, info *snipetable.Service) bool {
-	n, sends := coldSenders(v.Members(), t, c.name, max(int(info.ColdRate/2), 1))
+	n, sends := coldSenders(c.callerFronts(v), t, c.name, max(int(info.ColdRate/2), 1))
 	if !sends {
 		s.pace.begin(c.startAt(t, s, until))
 		return false
@@ -40,6 +40,19 @@
 	return s.admitsPace(now) && s.coldBucket.tryTake(now, info.ColdRate/float64(n))
 }
 
+// callerFronts returns the fronts that callers use: the large ones, if the directory names
+// only these, or else all. A small front that nobody uses would leave a cold target idle. The
+// caller holds the lock.
+func (c *Chooser) callerFronts(v *snipefleet.View) []snipefleet.Member {
+	if members := v.Members(); !snipefleet.SameSlice(c.members, members) || len(members) == 0 {
+		c.members, c.large = members, snipefleet.LargeMembers(members)
+	}
+	if len(c.large) > 0 {
+		return c.large
+	}
+	return c.members
+}
+
 // coldSenders returns the number of fronts that send to a cold target, at most limit, and
 // whether the front with the given name is one of them. They are chosen by rendezvous hashing
 // among the fronts of the target's region, or among all fronts if the region has none.
