snipequota: a front that starts assumes its share of the stated capacity

Cause: a front that has not heard from a watcher yet, as all of them after a restart of the whole fleet, admitted rate / number of fronts. The large fronts, through which nearly all requests come, refused tenants at half of their quotas until the first answer.

Change: until a front has seen what it admits, it assumes that requests are divided by the capacity that the fronts state in their entries. The parts still add up to the rate.

--- a/snipequota/cluster_test.go
+++ b/snipequota/cluster_test.go
@@ -96,12 +96,18 @@
 	return nil
 }
 
-// newCluster returns a cluster of six groups of about the same size.
+// newCluster returns a cluster of six groups of about the same size, whose fronts state no
+// capacity.
 func newCluster(seed uint64, fronts int) *cluster {
+	return newClusterOf(seed, fronts, func(int) float64 { return 0 })
+}
+
+// newClusterOf returns a cluster of fronts with the given processor capacities.
+func newClusterOf(seed uint64, fronts int, cores func(i int) float64) *cluster {
 	c := &cluster{now: snipetime.Instant(time.Minute), random: rand.New(rand.NewPCG(seed, 0)), tenants: make(map[string]*clusterTenant)}
 	for i := range fronts {
 		place := snipefleet.Place{Region: fmt.Sprint("r", i%3), Domain: fmt.Sprint("d", i%6)}
-		m := snipefleet.Member{Name: fmt.Sprint("f", i), Peer: fmt.Sprint("f", i), Place: place}
+		m := snipefleet.Member{Name: fmt.Sprint("f", i), Peer: fmt.Sprint("f", i), Place: place, Cores: cores(i)}
 		c.fronts = append(c.fronts, &clusterFront{index: i, member: m, registry: snipefleet.New()})
 	}
 	for _, f := range c.fronts {
--- a/snipequota/tenantentry.go
+++ b/snipequota/tenantentry.go
@@ -103,16 +103,16 @@
 	nextRetryAt snipetime.Instant
 }
 
-// start sets the tokens of a new entry, and how much the front usually admits: novelty is the
-// part of it that the front has not seen yet.
-func (e *entry) start(k knowledge, novelty float64) {
-	e.usual = nearShare * e.quota.PerSecond / k.fronts * novelty
+// start sets the tokens of a new entry, and what the front usually admits: unseen is the share
+// of the rate that it is assumed to use and has not seen yet.
+func (e *entry) start(k knowledge, unseen float64) {
+	e.usual = nearShare * e.quota.PerSecond * unseen
 	e.spare = e.partBurst(k)
 	if k.heard {
 		e.tokens = e.limit(k, 0)
 		return
 	}
-	e.tokens = max(1, e.quota.Burst*startShare/k.fronts)
+	e.tokens = max(1, startShare*e.partBurst(k))
 }
 
 // setQuota takes over a quota of another version of the configuration. A lower one ends
--- a/snipequota/tenantexchange.go
+++ b/snipequota/tenantexchange.go
@@ -244,6 +244,7 @@
 	if indexOf(members, q.self.Name) < 0 {
 		count++
 	}
+	q.initialShare.Store(math.Float64bits(capacityShare(q.self, members)))
 	q.fronts.Store(int64(max(count, 1)))
 }
 
--- a/snipequota/tenants.go
+++ b/snipequota/tenants.go
@@ -42,6 +42,9 @@
 	shards [numShards]shard
 	// fronts is the number of fronts; 0 before the first look at the members.
 	fronts atomic.Int64
+	// initialShare holds the bits of the share, from 0 to 1, of the rate that this front is
+	// assumed to use until it has seen what it admits.
+	initialShare atomic.Uint64
 	// heardAt is when the last answered request for levels was sent, or
 	// math.MinInt64 before the first one.
 	heardAt atomic.Int64
@@ -130,8 +133,26 @@
 	}
 }
 
+// capacityShare returns the share of a front in the capacity of the members, which callers
+// prefer by it, or the equal one if a front does not state its capacity.
+func capacityShare(self snipefleet.Member, members []snipefleet.Member) float64 {
+	total, found := 0.0, false
+	for i := range members {
+		if members[i].Cores <= 0 {
+			return 1 / float64(len(members))
+		}
+		total += members[i].Cores
+		found = found || members[i].Name == self.Name
+	}
+	if !found || self.Cores <= 0 {
+		return 1 / float64(max(len(members), 1))
+	}
+	return self.Cores / total
+}
+
 // novelty is 1 until this front has heard from a watcher, and decays then with usualTime. As
-// long as the front has not seen what it usually admits, it assumes the equal part.
+// long as the front has not seen what it usually admits, it assumes its share of the
+// capacity.
 func (q *TenantQuotas) novelty(now snipetime.Instant) float64 {
 	since := q.heardSince.Load()
 	if since == math.MaxInt64 {
@@ -144,7 +165,9 @@
 func (q *TenantQuotas) numFronts() float64 {
 	n := q.fronts.Load()
 	if n == 0 {
-		n = int64(max(len(q.fleet.View().Members()), 1))
+		members := q.fleet.View().Members()
+		n = int64(max(len(members), 1))
+		q.initialShare.Store(math.Float64bits(capacityShare(q.self, members)))
 		q.fronts.Store(n)
 	}
 	return float64(n)
@@ -157,7 +180,8 @@
 // addEntry adds the entry of a tenant. The caller holds the lock of the shard.
 func (q *TenantQuotas) addEntry(now snipetime.Instant, s *shard, t *snipetable.Tenant) *entry {
 	e := &entry{quota: enforced(t.Quota), at: now, levelAt: now, series: nextSeries(now, 0), demand: tenantDemand{at: now}}
-	e.start(q.knowledge(now), q.novelty(now))
+	q.numFronts() // looks at the members if nobody has yet
+	e.start(q.knowledge(now), q.novelty(now)*math.Float64frombits(q.initialShare.Load()))
 	s.entries[t.Name] = e
 	return e
 }
--- a/snipequota/unequalfronts_test.go
+++ b/snipequota/unequalfronts_test.go
@@ -1,6 +1,7 @@
 package snipequota
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -25,7 +26,7 @@
 		t.Run(fault.name, func(t *testing.T) {
 			t.Parallel()
 			for seed := uint64(3); seed < 5; seed++ {
-				c := newCluster(seed, testFronts)
+				c := newClusterOf(seed, testFronts, capacity)
 				hot := c.add("hot 300", 300, 300, 150)
 				usual := []*clusterTenant{c.add("usual 60", 60, 60, 30), c.add("usual 300", 300, 300, 150)}
 				for _, tenant := range c.ordered {
@@ -52,3 +53,43 @@
 		})
 	}
 }
+
+// capacity returns the processor capacity of a front in a fleet with large ones.
+func capacity(i int) float64 {
+	if i < largeFronts {
+		return 0.8
+	}
+	return 0.16
+}
+
+// TestUnequalFrontsStart guards against fronts that refuse tenants below their quotas in the
+// first seconds after all of them restarted, because the large ones, through which the
+// requests come, assume the equal part.
+func TestUnequalFrontsStart(t *testing.T) {
+	t.Parallel()
+	for seed := uint64(3); seed < 7; seed++ {
+		c := newClusterOf(seed, testFronts, capacity)
+		for _, perSecond := range []float64{60, 300, 700} {
+			c.add(fmt.Sprint(perSecond), perSecond, perSecond, perSecond/2).weight = atLargeFronts
+		}
+		c.run(20 * time.Second)
+		from := len(c.ordered[0].admitted)
+		for _, f := range c.fronts {
+			c.restart(f)
+		}
+		c.run(3 * time.Second)
+		for _, tenant := range c.ordered {
+			refused := total(tenant.refused[from:])
+			sent := refused + total(tenant.admitted[from:])
+			t.Logf("%s: %d of %d refused", tenant.Name, refused, sent)
+			// Fronts start with few tokens, and requests come at random times.
+			allowed := 3 + sent/8
+			if tenant.Quota.PerSecond < 100 {
+				allowed = 3 + sent/4
+			}
+			if refused > allowed {
+				t.Errorf("%s: %d of %d refused at half of the quota", tenant.Name, refused, sent)
+			}
+		}
+	}
+}
