snipeplacement: a stated slowness does not delay retries by seconds

Cause: the retry time at a full target was multiplied by its slowness, of up to 100, without a bound, although slowness decays within half a second.

Change: slowness moves a retry time to 1 s at most, unless the share of this front alone makes it later. Without a slowness nothing changes.

--- a/snipeplacement/state.go
+++ b/snipeplacement/state.go
@@ -83,8 +83,12 @@
 // a share of the slots that become free is for this front, but not before the times that
 // are reserved for callers who are as urgent. It updates slotInterval.
 func (s *targetState) slotFreeAt(now snipetime.Instant, t *snipefleet.Target, n, share float64, urgent bool) snipetime.Instant {
-	s.slotInterval = time.Duration(float64(s.interval(t)) * s.slowness(now) / share)
-	free := max(now.Add(time.Duration(n*float64(s.slotInterval))), s.nextUrgentRetryAt)
+	shared := float64(s.interval(t)) / share
+	s.slotInterval = time.Duration(shared * s.slowness(now))
+	// Slowness lasts for a part of a second, and does not move a retry time beyond
+	// maxFullRetryDelay.
+	latest := max(time.Duration(n*shared), maxFullRetryDelay)
+	free := max(now.Add(min(time.Duration(n*float64(s.slotInterval)), latest)), s.nextUrgentRetryAt)
 	if urgent {
 		return free
 	}
