--- a/snipequota/tenantentry.go
+++ b/snipequota/tenantentry.go
@@ -124,6 +124,9 @@
 	if quota.PerSecond < e.quota.PerSecond || quota.Burst < e.quota.Burst {
 		e.tokens = min(e.tokens, 1)
 	}
+	if quota.PerSecond < e.quota.PerSecond {
+		e.usual *= quota.PerSecond / e.quota.PerSecond
+	}
 	e.quota = quota
 }
 
--- a/snipequota/unequalfronts_test.go
+++ b/snipequota/unequalfronts_test.go
@@ -93,3 +93,22 @@
 		}
 	}
 }
+
+// TestLoweredQuotaWithoutWatchers guards against fronts without a watcher that keep what they
+// admitted under a higher limit.
+func TestLoweredQuotaWithoutWatchers(t *testing.T) {
+	t.Parallel()
+	c := newCluster(4, testFronts)
+	tenant := c.add("a", 400, 400, 300)
+	c.run(20 * time.Second)
+	for _, f := range c.fronts {
+		cut(c, f)
+	}
+	tenant.Quota.PerSecond, tenant.Quota.Burst = 40, 40
+	c.run(5 * time.Second)
+	from := len(tenant.admitted)
+	c.run(10 * time.Second)
+	if worst := tenant.worstWindow(from); float64(worst) > tenant.windowBound() {
+		t.Errorf("%d requests in 5 s after the limit was lowered, bound %.0f", worst, tenant.windowBound())
+	}
+}
