--- a/snipeplacement/rank.go
+++ b/snipeplacement/rank.go
@@ -21,6 +21,9 @@
 	// lowestLimit is the part of the concurrency limits that a less urgent rank keeps
 	// then. Its requests get the slots of a target, and do not wait there.
 	lowestLimit = 0.5
+	// minRankShare is the share of the requests for a service from which a rank counts as
+	// one of several. Single requests by which operators test a route do not.
+	minRankShare = 0.05
 	// minServedShare is the part of the share served of all requests for a service below
 	// which the requests of a rank have the limits of the most urgent one. Requests of a
 	// rank must not be served less than a quarter as often as all.
@@ -111,8 +114,23 @@
 	return i
 }
 
-// ranked reports whether requests of several ranks were counted lately.
-func (d *demand) ranked() bool { return len(d.ranks) > 1 }
+// ranked reports whether several ranks lately had minRankShare of the requests each.
+func (d *demand) ranked() bool {
+	if len(d.ranks) < 2 {
+		return false
+	}
+	offered := 0.0
+	for i := range d.ranks {
+		offered += d.ranks[i].offered.sum()
+	}
+	n := 0
+	for i := range d.ranks {
+		if d.ranks[i].offered.sum() >= minRankShare*offered {
+			n++
+		}
+	}
+	return n > 1
+}
 
 // limitFactor returns the part of the concurrency limits of a target that the rank at an
 // index keeps: all for the most urgent one, and while no requests are refused for lack of
--- a/snipeplacement/rank_test.go
+++ b/snipeplacement/rank_test.go
@@ -186,6 +186,26 @@
 	}
 }
 
+// TestFewRequestsOfARank guards against single requests by which operators test a route and
+// that have a priority of their own: they must not make a service one of several ranks.
+func TestFewRequestsOfARank(t *testing.T) {
+	for _, tc := range []struct {
+		usual, other int
+		want         bool
+	}{{100, 0, false}, {100, 4, false}, {90, 10, true}, {0, 3, false}} {
+		var d demand
+		for range tc.usual {
+			d.offer(second, rank{0, 2})
+		}
+		for range tc.other {
+			d.offer(second, rank{0, 0})
+		}
+		if got := d.ranked(); got != tc.want {
+			t.Errorf("%d requests of one rank and %d of another: ranked is %v, want %v", tc.usual, tc.other, got, tc.want)
+		}
+	}
+}
+
 // TestRetryTimesOfRanks guards against callers of a service with a single rank who are told
 // other times than before, and against ranked ones who are told the same times as others.
 func TestRetryTimesOfRanks(t *testing.T) {
--- a/snipequota/tenantexchange.go
+++ b/snipequota/tenantexchange.go
@@ -1,6 +1,7 @@
 package snipequota
 
 import (
+	"math"
 	"time"
 
 	"github.com/snipemoor/snipemoor/snipefeed"
@@ -114,6 +115,7 @@
 		return
 	}
 	q.heardAt.Store(max(q.heardAt.Load(), int64(sent)))
+	q.heardSince.CompareAndSwap(math.MaxInt64, int64(sent))
 	delete(named, "")
 	q.addNamed(now, named)
 	k := q.knowledge(now)
@@ -242,6 +244,7 @@
 	if indexOf(members, q.self.Name) < 0 {
 		count++
 	}
+	q.initialShare.Store(math.Float64bits(capacityShare(q.self, members)))
 	q.fronts.Store(int64(max(count, 1)))
 }
 
--- a/snipetable/keys.go
+++ b/snipetable/keys.go
@@ -89,10 +89,10 @@
 func (t *Table) addTenant(e *TenantEntry) {
 	tenant := e.Tenant
 	tenant.validate()
-	if tenant.Err != nil {
+	switch {
+	case tenant.Err != nil:
 		t.report(ObjectTenant, tenant.Name, EffectRefused, tenant.Err)
-	}
-	if tenant.QuotaErr != nil {
+	case tenant.QuotaErr != nil:
 		t.report(ObjectTenant, tenant.Name, EffectRefused, tenant.QuotaErr)
 	}
 	for _, err := range e.KeyErrs {
