snipeplacement: names and comments of the pace and the ranks say what they do

Cause: startBy took the current time, not a deadline; countNew updated a flag and returned no count; the comment of minServedShare gave a quarter for a constant of a half without saying that the rest is a margin. Change: startNow, updateMostNew, and clearer comments. No behaviour changes.

--- a/snipeplacement/cold.go
+++ b/snipeplacement/cold.go
@@ -35,7 +35,7 @@
 		s.pace.begin(c.startAt(t, s, until))
 		return false
 	}
-	s.pace.startBy(now)
+	s.pace.startNow(now)
 	s.pace.coldAt = now
 	return s.admitsPace(now) && s.coldBucket.tryTake(now, info.ColdRate/float64(n))
 }
--- a/snipeplacement/pace.go
+++ b/snipeplacement/pace.go
@@ -71,14 +71,15 @@
 	badAt, coldAt snipetime.Instant
 }
 
-// begin reduces the pace to the initial window. Requests are admitted from a time on.
+// begin reduces the pace to the initial window. No request is admitted before
+// from, or before the start that an earlier call set if that is later.
 func (p *pace) begin(from snipetime.Instant) {
 	from = max(from, p.from)
 	*p = pace{reduced: true, window: initialWindow, from: from, probeAt: from, coldAt: p.coldAt}
 }
 
-// startBy lets this front send at once if it did not begin before.
-func (p *pace) startBy(now snipetime.Instant) {
+// startNow lets this front send at once if it did not begin before.
+func (p *pace) startNow(now snipetime.Instant) {
 	if p.reduced && now.Before(p.from) {
 		p.from, p.probeAt = now, now
 	}
@@ -121,7 +122,7 @@
 }
 
 // paced reports whether the target is below full pace. The pace is full once the window
-// holds all slots, or after fullPaceAfter without a bad answer.
+// holds all slots, or after fullPaceAfter without a bad answer; paced then resets reduced.
 func (s *targetState) paced(now snipetime.Instant) bool {
 	p := &s.pace
 	if !p.reduced {
@@ -237,8 +238,8 @@
 	return t.ColdUntil > t.FirstReported || s.isNew(t) && !s.mostNew
 }
 
-// countNew updates mostNew for the targets of the service.
-func (s *servicePace) countNew(targets []*snipefleet.Target) {
+// updateMostNew updates mostNew for the targets of the service.
+func (s *servicePace) updateMostNew(targets []*snipefleet.Target) {
 	newest, n := s.since, 0
 	for _, t := range targets {
 		newest = max(newest, t.FirstReported)
--- a/snipeplacement/rank.go
+++ b/snipeplacement/rank.go
@@ -25,8 +25,8 @@
 	// one of several. Single requests by which operators test a route do not.
 	minRankShare = 0.05
 	// minServedShare is the part of the share served of all requests for a service below
-	// which the requests of a rank have the limits of the most urgent one. Requests of a
-	// rank must not be served less than a quarter as often as all.
+	// which the requests of a rank have the limits of the most urgent one. No rank may be
+	// served less than a quarter as often as all requests; the rest is a margin.
 	minServedShare = 0.5
 )
 
--- a/snipeplacement/ranking.go
+++ b/snipeplacement/ranking.go
@@ -84,7 +84,7 @@
 	if s != nil {
 		recent, known = s.demand, s.pace
 	}
-	known.countNew(targets)
+	known.updateMostNew(targets)
 	s = &serviceRankings{targets: targets, members: members, limitsVersion: version, best: make(map[rankingKey][]*snipefleet.Target), demand: recent, pace: known}
 	s.slots, s.shares = r.usableSlots(targets)
 	if r.services == nil {
