snipecheck: plain texts for tenants without keys

Cause: two findings were hard to read ("no request is its own", "every route refuses"), and the comment of checkTenants named only one of its three findings. Change: texts and comments. Nothing depends on the texts; classes, objects and order stay.

--- a/snipecheck/change.go
+++ b/snipecheck/change.go
@@ -144,7 +144,7 @@
 	change("cold rate per second", old.ColdRate, now.ColdRate)
 }
 
-// compareTenant finds what is changed in a tenant. Of its keys it tells how many.
+// compareTenant finds what is changed in a tenant. For keys, it gives only the numbers added and removed.
 func (c *checker) compareTenant(old, now *snipetable.TenantEntry) {
 	name := now.Tenant.Name
 	if added := missing(now.Keys, old.Keys); added > 0 {
--- a/snipecheck/check.go
+++ b/snipecheck/check.go
@@ -44,7 +44,7 @@
 	Fleet *Fleet
 }
 
-// Check returns what is to be said about in.New.
+// Check returns the findings about in.New.
 func Check(in Input) Findings {
 	c := checker{Input: in, table: in.New.inForceAfter(in.Current)}
 	c.addProblems()
--- a/snipecheck/effect.go
+++ b/snipecheck/effect.go
@@ -86,7 +86,8 @@
 	}
 }
 
-// checkTenants finds tenants that nobody can be.
+// checkTenants finds tenants without keys, tenants although no route needs a key, and keys
+// that are required although there are no tenants.
 func (c *checker) checkTenants() {
 	if c.New.content.TenantsErr != nil {
 		return
@@ -94,7 +95,7 @@
 	for i := range c.New.content.Tenants {
 		t := &c.New.content.Tenants[i]
 		if len(t.Keys) == 0 && len(t.KeyErrs) == 0 && t.Tenant.Err == nil {
-			c.found.addf(ClassNoEffect, snipetable.ObjectTenant, t.Tenant.Name, "it has no keys, so that no request is its own")
+			c.found.addf(ClassNoEffect, snipetable.ObjectTenant, t.Tenant.Name, "it has no keys, so no request can belong to it")
 		}
 	}
 	private := slices.ContainsFunc(c.New.served(), func(r *snipetable.Route) bool { return !r.Public })
@@ -102,6 +103,6 @@
 		c.found.addf(ClassNoEffect, snipetable.ObjectTenant, "", "no route that can be served needs a key")
 	}
 	if c.New.content.RequiresKeys && len(c.New.content.Tenants) == 0 && private {
-		c.found.addf(ClassNoEffect, ObjectConfiguration, "", "keys are required, and no tenant has one: every route that is not public refuses")
+		c.found.addf(ClassNoEffect, ObjectConfiguration, "", "keys are required, but no tenant has one: requests of all routes that are not public are refused")
 	}
 }
