--- a/snipefeed/tenants.go
+++ b/snipefeed/tenants.go
@@ -18,7 +18,8 @@
 	Demand float64
 	// Level is the level of the token bucket over all fronts, in requests.
 	Level float64
-	// LevelKnown is set if Level is.
+	// LevelKnown is set unless the sender states no level, or has just become a watcher and
+	// assumes it.
 	LevelKnown bool
 }
 
