snipecheck: restore the text for a tenant without keys

Cause: changed the text of this finding and said that nothing depends on it. Change: the earlier text again. The other changed text is in no golden file.

--- a/snipecheck/effect.go
+++ b/snipecheck/effect.go
@@ -95,7 +95,7 @@
 	for i := range c.New.content.Tenants {
 		t := &c.New.content.Tenants[i]
 		if len(t.Keys) == 0 && len(t.KeyErrs) == 0 && t.Tenant.Err == nil {
-			c.found.addf(ClassNoEffect, snipetable.ObjectTenant, t.Tenant.Name, "it has no keys, so no request can belong to it")
+			c.found.addf(ClassNoEffect, snipetable.ObjectTenant, t.Tenant.Name, "it has no keys, so that no request is its own")
 		}
 	}
 	private := slices.ContainsFunc(c.New.served(), func(r *snipetable.Route) bool { return !r.Public })
