snipequota: name the rule for stale answers, and say what the comments left out

Cause: the condition under which refill bounds the tokens joined six terms in one line; that refillBucket removes buckets, and what the entry without a name means, was not said; the comment of silenceTime still named the equal part, although more can be reserved. Change: entry.mayExceed holds the condition unchanged, and the comments are mended.

--- a/snipequota/tenantentry.go
+++ b/snipequota/tenantentry.go
@@ -19,8 +19,8 @@
 	freeTokens = 5.0
 	freeShare  = 0.5
 	// overDemand is the ratio of demand to rate above which a tenant whose level is below
-	// overShare of the burst goes over its quota, and stays over it. The measured demand of a tenant of few requests
-	// per second varies by that much.
+	// overShare of the burst goes over its quota, and stays over it. The measured demand of
+	// a tenant of few requests per second varies by that much.
 	overDemand = 1.25
 	overShare  = 0.5
 	// extraBurst is added to each burst, in requests. The platform allows 20 requests
@@ -139,7 +139,6 @@
 	own := e.demand.rate(now)
 	// The demand decays between two requests; the mean share counts.
 	mean := (e.demand.rate(e.at) - own) * demandMeasureTime.Seconds() / dt
-	equal := e.quota.PerSecond / k.fronts
 	e.spare = min(e.spare+e.part(k)*dt, e.partBurst(k))
 	if k.heard {
 		e.usual *= math.Exp(-dt / usualTime.Seconds())
@@ -150,13 +149,24 @@
 		e.level = min(e.level, 0) // spent by now
 	}
 	e.tokens = min(e.tokens+e.perSecond(mean, k)*dt, e.limit(k, own))
-	jumped := own > jumpFactor*e.levelOwn
-	if !k.heard || stale && (jumped || !e.over && (e.levelOwn <= equal || e.tracked && e.total > e.quota.PerSecond)) {
+	if !k.heard || stale && e.mayExceed(own, k) {
 		e.tokens = min(e.tokens, e.spare)
 	}
 	e.at = now
 }
 
+// mayExceed reports whether the fronts together may admit more than the quota if they use
+// the last answer after freshTime, because the own demand has jumped to own since, or the
+// tenant was not yet over its quota and either most of the demand was at other fronts or
+// the total was above the rate.
+func (e *entry) mayExceed(own float64, k knowledge) bool {
+	if own > jumpFactor*e.levelOwn {
+		return true
+	}
+	equal := e.quota.PerSecond / k.fronts
+	return !e.over && (e.levelOwn <= equal || e.tracked && e.total > e.quota.PerSecond)
+}
+
 // perSecond returns the rate at which the front may admit requests, if its demand is own.
 func (e *entry) perSecond(own float64, k knowledge) float64 {
 	equal := e.quota.PerSecond / k.fronts
--- a/snipequota/tenantexchange.go
+++ b/snipequota/tenantexchange.go
@@ -110,7 +110,7 @@
 	for i := range levels {
 		named[levels[i].Tenant] = &levels[i]
 	}
-	_, complete := named[""]
+	_, complete := named[""] // as TenantLevels marks it
 	if !complete || now.Sub(sent) > levelValidity || q.watches() && watcher != q.ownAddress() {
 		return
 	}
--- a/snipequota/tenantlevel.go
+++ b/snipequota/tenantlevel.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// silenceTime is the time without a report after which a front is not heard, and its
-	// equal part of each quota is subtracted.
+	// silenceTime is the time without a report after which a front is not heard, and a part
+	// of each quota is reserved for it.
 	silenceTime = 2 * time.Second
 	// noticeSilenceTime is the same for the notices of another watcher, which come every
 	// 250 ms. Until then, a watcher that is cut off admits as if the others were idle.
@@ -34,7 +34,7 @@
 	// activeRetention is the time after the last report about a tenant for which notices
 	// are sent.
 	activeRetention = time.Minute
-	// nearShare is the fraction of the demand to the rate above which a tenant is near its
+	// nearShare is the ratio of the demand to the rate above which a tenant is near its
 	// quota. It is also near with a level below the same fraction of the burst.
 	// noticeNearShare is the demand above which notices name it each time: the first one
 	// that shows a tenant near its quota must not be late.
@@ -175,7 +175,8 @@
 }
 
 // refillBucket adds the tokens since the last update. Changes of the quota apply to the
-// time since then.
+// time since then. It removes a bucket without a quota, and a full one without usage, from
+// the state of the watcher.
 func (q *TenantQuotas) refillBucket(now snipetime.Instant, name string, b *bucket) {
 	quota, limited := q.limitOf(name)
 	if !limited {
@@ -198,7 +199,7 @@
 	}
 	if b := q.watch.buckets[name]; b != nil {
 		q.refillBucket(now, name, b)
-		q.watch.buckets[name] = b
+		q.watch.buckets[name] = b // refillBucket may have removed it
 		return b
 	}
 	level := quota.Burst
@@ -266,7 +267,7 @@
 	if !m.watches || now.Sub(m.watchesSince) < listenTime {
 		return nil
 	}
-	out := []snipefeed.TenantUsage{{}}
+	out := []snipefeed.TenantUsage{{}} // The entry without a name marks a complete answer.
 	for name, b := range q.watch.buckets {
 		q.refillBucket(now, name, b)
 		quota, limited := q.limitOf(name)
--- a/snipequota/tenants.go
+++ b/snipequota/tenants.go
@@ -150,9 +150,9 @@
 	return self.Cores / total
 }
 
-// novelty is 1 until this front has heard from a watcher, and decays then with usualTime. As
-// long as the front has not seen what it usually admits, it assumes its share of the
-// capacity.
+// novelty returns the weight, from 0 to 1, of the assumption that this front admits its share
+// of the capacity. It is 1 until the front has heard from a watcher, and then decays with
+// usualTime, in which the front measures what it usually admits.
 func (q *TenantQuotas) novelty(now snipetime.Instant) float64 {
 	since := q.heardSince.Load()
 	if since == math.MaxInt64 {
@@ -161,7 +161,8 @@
 	return math.Exp(-max(now.Sub(snipetime.Instant(since)), 0).Seconds() / usualTime.Seconds())
 }
 
-// numFronts returns the number of fronts, at least 1.
+// numFronts returns the number of fronts, at least 1. The first call reads the members if
+// updateMembership has not done so.
 func (q *TenantQuotas) numFronts() float64 {
 	n := q.fronts.Load()
 	if n == 0 {
