--- a/snipetarget/attempt.go
+++ b/snipetarget/attempt.go
@@ -275,6 +275,12 @@
 		cancel()
 		pool.release(pt)
 	}}
+	return newResponse(resp, body, t)
+}
+
+// newResponse returns the response to an attempt. It closes body and returns an error of
+// type *Error if the response is malformed, or states that the request was not run.
+func newResponse(resp *http.Response, body *responseBody, t *tracker) (*Response, error) {
 	if err := snipeconn.CheckStatus(resp); err != nil {
 		_ = body.Close()
 		return nil, &Error{Execution: MaybeBegun, Cause: CauseBadResponse, Err: err}
