snipeplacement: the methods of pace name what they change

Cause: fall, rise and follow did not say that they change the window. Change: lowerWindow, raiseWindow and raiseTowardLoad. Result: the tests of snipeplacement pass.

--- a/snipeplacement/pace.go
+++ b/snipeplacement/pace.go
@@ -85,9 +85,9 @@
 	}
 }
 
-// fall lowers the window after a bad answer, at most once in a service time, because the
-// answers to requests that were sent together tell the same.
-func (p *pace) fall(now snipetime.Instant, serviceTime time.Duration) {
+// lowerWindow lowers the window after a bad answer, at most once in a service time, because
+// the answers to requests that were sent together tell the same.
+func (p *pace) lowerWindow(now snipetime.Instant, serviceTime time.Duration) {
 	if !p.reduced || now.Before(p.from) || p.steady && now.Sub(p.badAt) < serviceTime {
 		return
 	}
@@ -95,9 +95,9 @@
 	p.steady, p.badAt = true, now
 }
 
-// rise raises the window after a good answer with the given load, which may be nil, unless
-// requests wait at the target.
-func (p *pace) rise(now snipetime.Instant, l *Load) {
+// raiseWindow raises the window after a good answer with the given load, which may be nil,
+// unless requests wait at the target.
+func (p *pace) raiseWindow(now snipetime.Instant, l *Load) {
 	if !p.reduced || now.Before(p.from) || l != nil && l.Waiting > 0 {
 		return
 	}
@@ -107,14 +107,14 @@
 		p.window++
 	}
 	if l != nil {
-		p.follow(now, l.Running, l.Slots, float64(l.Slots))
+		p.raiseTowardLoad(now, l.Running, l.Slots, float64(l.Slots))
 	}
 }
 
-// follow raises the window by at most step, to one more than the load that the target
-// reported, which shows that it takes requests of other fronts too. If requests wait there,
+// raiseTowardLoad raises the window by at most step, to one more than the load that the
+// target reported, which shows that it takes requests of other fronts too. If requests wait there,
 // the load shows nothing.
-func (p *pace) follow(at snipetime.Instant, requests, slots int, step float64) {
+func (p *pace) raiseTowardLoad(at snipetime.Instant, requests, slots int, step float64) {
 	if !p.reduced || at.Before(p.from) || requests < 1 || requests > slots {
 		return
 	}
@@ -175,9 +175,9 @@
 	case s.failures >= suspectFailures && (r.Failed || r.Unreachable):
 		s.pace.begin(now.Add(s.exclusion()))
 	case r.Failed, r.Refused, r.Completed && slow:
-		s.pace.fall(now, s.serviceTime)
+		s.pace.lowerWindow(now, s.serviceTime)
 	case r.Completed:
-		s.pace.rise(now, r.Load)
+		s.pace.raiseWindow(now, r.Load)
 	}
 	if r.Completed && !s.pace.reduced && s.service != nil {
 		s.service.record(r.Latency)
--- a/snipeplacement/state.go
+++ b/snipeplacement/state.go
@@ -130,7 +130,7 @@
 // recordOthersLoad records a load that the target reported at a time to another front.
 func (s *targetState) recordOthersLoad(at snipetime.Instant, l snipefeed.Load) {
 	if s.failures < suspectFailures && at.Sub(s.reportedAt) >= minReportInterval {
-		s.pace.follow(at, l.Requests, s.slots, 1)
+		s.pace.raiseTowardLoad(at, l.Requests, s.slots, 1)
 	}
 	s.recordLoad(at, l.Requests, l.Slowness)
 }
