snipequota: names of two methods of entry

Cause: left returned a rate and free a number of tokens; both names read as something else. Change: totalRate and usableAtOnce.

--- a/snipequota/tenantentry.go
+++ b/snipequota/tenantentry.go
@@ -176,15 +176,16 @@
 	case !e.tracked:
 		return own + equal
 	case e.over:
-		return e.left() * e.share(own)
+		return e.totalRate() * e.share(own)
 	default:
 		// Messages add what is left of the level.
-		return min(e.left(), e.quota.PerSecond) * max(e.share(own), 1/k.fronts)
+		return min(e.totalRate(), e.quota.PerSecond) * max(e.share(own), 1/k.fronts)
 	}
 }
 
-// left is the rate at which all fronts together may admit requests.
-func (e *entry) left() float64 { return max(e.quota.PerSecond+e.level/levelTime.Seconds(), 0) }
+// totalRate returns the rate, in requests per second, at which all fronts together may
+// admit requests.
+func (e *entry) totalRate() float64 { return max(e.quota.PerSecond+e.level/levelTime.Seconds(), 0) }
 
 // share returns the share of this front in the demand.
 func (e *entry) share(own float64) float64 {
@@ -204,7 +205,7 @@
 	case e.over:
 		return 1 + max(e.level, 0)*e.share(own)
 	default:
-		return max(e.equalBurst(k), e.free(own))
+		return max(e.equalBurst(k), e.usableAtOnce(own))
 	}
 }
 
@@ -247,9 +248,9 @@
 	}
 }
 
-// free returns the tokens that a front may use at once, while the tenant is not over its
-// quota.
-func (e *entry) free(own float64) float64 {
+// usableAtOnce returns the tokens that a front may use at once, while the tenant is not over
+// its quota.
+func (e *entry) usableAtOnce(own float64) float64 {
 	part := e.level * e.share(own)
 	extra := freeTokens
 	if !e.known {
@@ -271,7 +272,7 @@
 	case over && !e.over:
 		e.tokens = min(e.tokens, max(level, 0)*e.share(own))
 	case !over:
-		e.tokens = max(e.tokens, e.free(own))
+		e.tokens = max(e.tokens, e.usableAtOnce(own))
 		e.nextRetryAt = 0
 	}
 	e.over = over
