--- a/snipefront/addressbook.go
+++ b/snipefront/addressbook.go
@@ -43,7 +43,7 @@
 func selectFronts(members []snipefleet.Member, caller snipefleet.Place) []string {
 	sameDomain := func(m *snipefleet.Member) bool { return m.Place.Domain == caller.Domain }
 	sameRegion := func(m *snipefleet.Member) bool { return m.Place.Region == caller.Region }
-	large := snipefleet.LargeMembers(members)
+	large := largeFronts(members)
 	for _, near := range []func(*snipefleet.Member) bool{sameDomain, sameRegion} {
 		// Two at least, so that callers have another one when one fails.
 		if addresses := filterAddresses(large, near); len(addresses) >= 2 {
@@ -58,6 +58,38 @@
 	return filterAddresses(members, func(*snipefleet.Member) bool { return true })
 }
 
+const (
+	// largeShare is the part of the capacity of the largest front from which a front counts
+	// as large.
+	largeShare = 0.5
+	// minLargeCapacity is the part of the capacity of all fronts that the large ones must
+	// have to be used alone. It bounds the load of a core at three times that of an even
+	// division.
+	minLargeCapacity = 1.0 / 3
+)
+
+// largeFronts returns the members that are large enough to be used alone. It returns nil if
+// they have too little of the capacity, and if there are no smaller ones.
+func largeFronts(members []snipefleet.Member) []snipefleet.Member {
+	largest, total := 0.0, 0.0
+	for i := range members {
+		largest = max(largest, members[i].Cores)
+		total += members[i].Cores
+	}
+	var large []snipefleet.Member
+	sum := 0.0
+	for i := range members {
+		if members[i].Cores >= largeShare*largest {
+			large = append(large, members[i])
+			sum += members[i].Cores
+		}
+	}
+	if sum < minLargeCapacity*total || len(large) == len(members) {
+		return nil
+	}
+	return large
+}
+
 // acceptingFronts returns the fronts that accept callers. For this front, it uses
 // accepting instead of the entry in the store, which can be out of date.
 func (b *addressBook) acceptingFronts() []snipefleet.Member {
--- a/snipefront/front.go
+++ b/snipefront/front.go
@@ -149,7 +149,6 @@
 	}{
 		{"snipemoor_limited_targets", "Targets that state a rate limit.", func() float64 { return float64(f.quotas.NumLimited()) }},
 		{"snipemoor_resting_targets", "Targets that want no requests from this front.", func() float64 { return float64(f.chooser.NumResting(f.clock.Now())) }},
-		{"snipemoor_paced_targets", "Targets below full pace.", func() float64 { return float64(f.chooser.NumPaced(f.clock.Now())) }},
 		{"snipemoor_tenants_over_quota", "Tenants of which this front lately refused requests above the quota.", func() float64 { return float64(f.tenants.NumOver()) }},
 		{"snipemoor_store_epoch", "Restorations of the store, as it states them.", func() float64 { return float64(f.items.Position().Epoch) }},
 		{"snipemoor_store_revision", "Revision of the store up to which changes are applied.", func() float64 { return float64(f.items.Position().Revision) }},
--- a/snipegate/responses.go
+++ b/snipegate/responses.go
@@ -55,7 +55,7 @@
 	}
 	q.reused = resp.Reused
 	tooSlow := resp.Status == http.StatusGatewayTimeout && !s.NotRun
-	result := snipeplacement.Result{Latency: time.Since(sent), Load: s.Load, Refused: s.NotRun, Completed: !s.NotRun && !tooSlow, Failed: tooSlow}
+	result := snipeplacement.Result{Latency: time.Since(sent), Load: s.Load, Completed: !s.NotRun && !tooSlow, Failed: tooSlow}
 	if resp.Stream == nil {
 		q.gate.Chooser.RecordResult(q.gate.Clock.Now(), t, result)
 	} else {
--- a/snipeplacement/admission.go
+++ b/snipeplacement/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"time"
 
 	"github.com/snipemoor/snipemoor/snipefleet"
 )
@@ -24,14 +25,12 @@
 // evaluate decides whether the request can be sent to a target now, and records the
 // reason and the time until it may be if not. It asks in this order: what the target
 // states about its rest, whether requests to it fail, its rate limit, whether it is cold,
-// its pace, and its load. Targets that leave are not in the view.
+// and its load. Targets that leave are not in the view.
 func (s *selection) evaluate(t *snipefleet.Target) Candidate {
 	state := s.chooser.state(t)
 	s.chosen = state
-	state.slots = t.Slots
-	s.chooser.beginAfterEvacuation(s.view, t, state)
 	candidate := Candidate{Target: t, Load: state.estimatedLoad(s.now), LoadAge: s.now.Sub(state.reportedAt), Slowness: state.slowness(s.now)}
-	if left := state.restRemaining(s.now); left > 0 {
+	if left, resting := s.resting(t, state); resting {
 		candidate.SkipReason = ReasonResting
 		s.refusal.merge(ReasonResting, left)
 		return candidate
@@ -45,20 +44,13 @@
 		candidate.SkipReason = ReasonLimited
 		return candidate
 	}
-	if until := s.chooser.coldUntil(s.now, s.view, t, s.query.Info); until != 0 {
-		if s.postponed.Target != nil || !s.chooser.admitsCold(s.now, until, s.view, t, state, s.query.Info) {
+	if s.chooser.cold(s.now, s.view, t, s.query.Info) {
+		if s.postponed.Target != nil || !s.chooser.acquireColdToken(s.now, s.view, t, state, s.query.Info) {
 			candidate.SkipReason = ReasonCold
 			s.refusal.merge(ReasonCold, coldRetryDelay)
 		}
 		return candidate
 	}
-	if !state.admitsPace(s.now) {
-		candidate.SkipReason = ReasonPaced
-		s.paced = cmp.Or(s.paced, t)
-		s.numPaced++
-		s.refusal.merge(ReasonPaced, state.paceDelay(s.now))
-		return candidate
-	}
 	candidate.SkipReason = s.evaluateLoad(t, state, &candidate)
 	return candidate
 }
@@ -82,6 +74,20 @@
 	return ReasonFull
 }
 
+// resting reports whether a target wants no requests from this front, or no more than it
+// has in flight while it returns, and the expected time until the target takes one.
+func (s *selection) resting(t *snipefleet.Target, state *targetState) (left time.Duration, resting bool) {
+	left = s.chooser.restRemaining(s.now, s.view, t, state)
+	switch {
+	case left > 0:
+		return left, true
+	case s.chooser.returning(s.now, s.view, t, state):
+		return state.interval(t), true
+	default:
+		return 0, false
+	}
+}
+
 // admitsLimit reports whether the rate limit of a target, if it states one, admits the
 // request. It is asked for targetsPerObject targets at most, so that objects do not
 // occupy the caches of many limited targets.
--- a/snipeplacement/chooser.go
+++ b/snipeplacement/chooser.go
@@ -28,11 +28,8 @@
 	// ReasonLimited means that this front has used up its part of the rate limit of the
 	// last remaining target.
 	ReasonLimited Reason = "targetsLimited"
-	// ReasonPaced means that the last remaining target is below full pace, and its window is
-	// used up.
-	ReasonPaced Reason = "targetsPaced"
 	// ReasonResting means that the last remaining target wants no requests from this front,
-	// or wanted none until now and this front returns a little later.
+	// or that this front returns to it slowly after such a time.
 	ReasonResting Reason = "targetsResting"
 	// ReasonLeft means that the target that was chosen is no longer in use.
 	ReasonLeft Reason = "targetLeft"
@@ -109,8 +106,6 @@
 	Latency time.Duration
 	// Load is the load that the response reports, or nil.
 	Load *Load
-	// Refused is true if the response states that the target has not run the request.
-	Refused bool
 	// Completed is true for a complete response. It ends a sequence of failures.
 	Completed bool
 	// Unreachable is true if no connection could be opened. It excludes the target at
@@ -145,11 +140,6 @@
 	mu       sync.Mutex
 	rankings rankingCache
 	states   map[string]*targetState
-	// members are the fronts of the last look at them, and large the large ones, or nil if
-	// callers use all.
-	members, large []snipefleet.Member
-	// numFronts is the number of fronts that callers use, at the last choice.
-	numFronts int
 }
 
 // New returns a chooser for the front with the given name and place.
@@ -182,7 +172,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	sel := selection{chooser: c, now: now, view: v, query: q, refusal: Refusal{Reason: ReasonNoTarget, RetryAfter: noTargetRetryDelay}}
-	c.numFronts = len(c.callerFronts(v))
 	largeBody := q.Route.Kind == snipetable.Upload
 	key := rankingKey{q.Service, q.Object, largeBody}
 	service := c.rankings.service(v, q.Service)
@@ -190,7 +179,7 @@
 	sel.limitFactor, sel.ranked = service.demand.limitFactor(index), service.demand.ranked()
 	sel.urgent = sel.ranked && index == 0
 	candidate, found := sel.firstAdmitting(c.rankings.bestOf(service, v, key))
-	if total := len(v.Targets(q.Service)); !found && !sel.exhausted() && total > cachedTargets {
+	if total := len(v.Targets(q.Service)); !found && sel.considered < targetsPerObject && total > cachedTargets {
 		candidate, found = sel.firstAdmitting(c.rankings.all(v, key)[cachedTargets:])
 	}
 	if !found {
@@ -200,7 +189,7 @@
 		return Candidate{}, sel.buildRefusal()
 	}
 	service.demand.admit(index)
-	sel.chosen.recordSent(now)
+	sel.chosen.inFlight++
 	c.limits.Take(now, candidate.Target)
 	return candidate, nil
 }
@@ -248,7 +237,7 @@
 	defer c.mu.Unlock()
 	for _, l := range loads {
 		if s := c.states[l.Target]; s != nil {
-			s.recordOthersLoad(now.Add(-l.Age), l)
+			s.recordLoad(now.Add(-l.Age), l.Requests, l.Slowness)
 		}
 	}
 }
@@ -266,13 +255,7 @@
 	if s := c.known(t); s != nil {
 		return s
 	}
-	s := &targetState{born: t.Born, serviceTime: defaultServiceTime, slots: t.Slots}
-	if r := c.rankings.services[t.Service]; r != nil {
-		s.service = r.pace
-	}
-	if s.service != nil && s.service.startsSlowly(t) {
-		s.pace.begin(c.startAt(t, s, t.FirstReported))
-	}
+	s := &targetState{born: t.Born, serviceTime: defaultServiceTime}
 	c.states[t.ID] = s
 	return s
 }
--- a/snipeplacement/doc.go
+++ b/snipeplacement/doc.go
@@ -12,9 +12,8 @@
 // and when not, when it may be. It asks the registry (a target that leaves or is evacuated
 // is not in its view), then what it knows about the target itself: whether it rests,
 // whether requests to it fail, whether its rate limit admits the request, whether it is
-// cold, its pace, and its load. A target that was added, started, was cold or evacuated,
-// rested or failed gets requests within a window that follows its answers (pace). After a
-// start or a rest, the fronts begin one after the other.
+// cold, and its load. After a rest, the fronts return to a target one after the other, and
+// each one slowly.
 //
 // While requests for a service are refused for lack of room, less urgent ones get lower
 // concurrency limits (demand). The slowness that a target states moves only requests of
--- a/snipeplacement/ranking.go
+++ b/snipeplacement/ranking.go
@@ -45,9 +45,8 @@
 	// smallBodyWeights and largeBodyWeights are the weights of the targets for
 	// requests of that kind. They are nil until they are needed.
 	smallBodyWeights, largeBodyWeights []float64
-	// demand and pace outlive the rankings.
+	// demand outlives the rankings.
 	demand *demand
-	pace   *servicePace
 }
 
 // best returns the best targets of an object in order, at most cachedTargets.
@@ -80,12 +79,11 @@
 	if s != nil && snipefleet.SameSlice(s.targets, targets) && snipefleet.SameSlice(s.members, members) && s.limitsVersion == version && len(s.best) < maxCachedRankings {
 		return s
 	}
-	recent, known := &demand{}, newServicePace(targets)
+	recent := &demand{}
 	if s != nil {
-		recent, known = s.demand, s.pace
+		recent = s.demand
 	}
-	known.updateMostNew(targets)
-	s = &serviceRankings{targets: targets, members: members, limitsVersion: version, best: make(map[rankingKey][]*snipefleet.Target), demand: recent, pace: known}
+	s = &serviceRankings{targets: targets, members: members, limitsVersion: version, best: make(map[rankingKey][]*snipefleet.Target), demand: recent}
 	s.slots, s.shares = r.usableSlots(targets)
 	if r.services == nil {
 		r.services = make(map[string]*serviceRankings)
--- a/snipeplacement/rest.go
+++ b/snipeplacement/rest.go
@@ -8,11 +8,19 @@
 	"github.com/snipemoor/snipemoor/snipetime"
 )
 
+const (
+	// returnTime is the time after a rest in which this front returns to the concurrency
+	// limit of the target, from one request.
+	returnTime = 2 * time.Second
+	// maxReturnSpread bounds the time over which fronts begin to return to a target.
+	maxReturnSpread = 2 * time.Second
+)
+
 // rest is the time for which a target wants no requests from this front. The zero value
 // is none.
 type rest struct {
-	// until is when the rest ends, and from when this front begins to return.
-	until, from snipetime.Instant
+	// until is when the rest ends.
+	until snipetime.Instant
 	// unreadable is set once a statement could not be read.
 	unreadable bool
 }
@@ -26,8 +34,10 @@
 	return began
 }
 
-// over reports whether this front may send to the target, as far as its rest is concerned.
-func (r *rest) over(now snipetime.Instant) bool { return !now.Before(r.from) }
+// over reports whether there is neither a rest nor a return after one.
+func (r *rest) over(now snipetime.Instant) bool {
+	return r.until == 0 || now.Sub(r.until) >= maxReturnSpread+returnTime
+}
 
 // RecordRest records that t stated at now that it wants no requests from this front for
 // the time d. It reports whether t did not rest before.
@@ -35,13 +45,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.known(t)
-	if s == nil {
-		return false
-	}
-	began = s.rest.extend(now, now.Add(d))
-	s.rest.from = c.startAt(t, s, s.rest.until)
-	s.pace.begin(s.rest.from)
-	return began
+	return s != nil && s.rest.extend(now, now.Add(d))
 }
 
 // RecordUnreadableRest records that a statement of t about its rest could not be read. It
@@ -103,7 +107,7 @@
 		if s == nil {
 			return 0
 		}
-		left := s.restRemaining(now)
+		left := c.restRemaining(now, v, t, s)
 		if left == 0 {
 			return 0
 		}
@@ -114,18 +118,43 @@
 	if soonest == nil {
 		return 0
 	}
-	return soonest.retryNotBefore(now, now.Add(remaining), soonestTarget)
+	return soonest.retryAfterRest(now, now.Add(remaining), soonestTarget)
 }
 
 // restRemaining returns the time until this front begins to return to a target that
-// rests, or zero if it does not wait.
-func (s *targetState) restRemaining(now snipetime.Instant) time.Duration {
-	return max(s.rest.from.Sub(now), 0)
+// rests, or zero if it does not wait. The caller holds the lock.
+func (c *Chooser) restRemaining(now snipetime.Instant, v *snipefleet.View, t *snipefleet.Target, s *targetState) time.Duration {
+	if s.rest.over(now) {
+		return 0
+	}
+	return max(c.returnAt(v, t, s).Sub(now), 0)
+}
+
+// returnAt returns when this front begins to return to a target. The fronts begin one
+// after the other, in a random order, as fast as the target frees slots. The caller holds
+// the lock.
+func (c *Chooser) returnAt(v *snipefleet.View, t *snipefleet.Target, s *targetState) snipetime.Instant {
+	spread := min(time.Duration(len(v.Members()))*s.interval(t), maxReturnSpread)
+	return s.rest.until.Add(time.Duration(uniformHash(c.name, t.ID) * float64(spread)))
+}
+
+// returning reports whether this front returns to a target after a rest and has as many
+// requests in flight there as it may have so far. The caller holds the lock.
+func (c *Chooser) returning(now snipetime.Instant, v *snipefleet.View, t *snipefleet.Target, s *targetState) bool {
+	if s.rest.over(now) {
+		return false
+	}
+	elapsed := now.Sub(c.returnAt(v, t, s))
+	if elapsed >= returnTime {
+		return false
+	}
+	allowed := 1 + int(float64(t.Slots)*elapsed.Seconds()/returnTime.Seconds())
+	return s.inFlight >= allowed
 }
 
-// retryNotBefore reserves a retry time for a caller, not before the time at, and returns the
-// delay until then.
-func (s *targetState) retryNotBefore(now, at snipetime.Instant, t *snipefleet.Target) time.Duration {
+// retryAfterRest reserves a retry time for a caller, not before the time at, and returns
+// the delay until then.
+func (s *targetState) retryAfterRest(now, at snipetime.Instant, t *snipefleet.Target) time.Duration {
 	retryAt := max(at, min(s.nextRetryAt, at.Add(maxFullRetryDelay)))
 	s.nextRetryAt = retryAt.Add(s.interval(t))
 	return retryAt.Sub(now)
--- a/snipeplacement/selection.go
+++ b/snipeplacement/selection.go
@@ -42,10 +42,6 @@
 	// numLimited the number of such targets.
 	limited    *snipefleet.Target
 	numLimited int
-	// paced is the first target whose pace does not admit the request, and numPaced the
-	// number of such targets.
-	paced    *snipefleet.Target
-	numPaced int
 	// chosen is the state of the target that was evaluated last, and so of the chosen one.
 	chosen *targetState
 	// postponed is the target that is used if no other is expected to end the request
@@ -54,7 +50,7 @@
 	postponedState *targetState
 }
 
-// buildRefusal returns the refusal. If targets are full, limited or below full pace, it reserves a retry
+// buildRefusal returns the refusal. If targets are full or limited, it reserves a retry
 // time of its own for this caller, so that refused callers do not all retry at once.
 func (s *selection) buildRefusal() *Refusal {
 	out := s.refusal
@@ -64,25 +60,16 @@
 		out.RetryAfter = s.soonest.reserveRetry(s.now, s.soonestFree, s.urgent)
 	case s.limited != nil && out.Reason == ReasonLimited:
 		out.RetryAfter = s.chooser.limits.RetryDelay(s.now, s.limited)
-	case out.Reason == ReasonPaced:
-		out.RetryAfter = s.chooser.state(s.paced).retryNotBefore(s.now, s.now.Add(out.RetryAfter), s.paced)
 	}
 	return &out
 }
 
-// exhausted reports whether no further target is to be asked. Targets below full pace count
-// up to one more: if many are, requests that go further and further occupy the caches of
-// targets of other objects, until none serves from its cache.
-func (s *selection) exhausted() bool {
-	return s.considered == targetsPerObject || s.considered+s.numPaced > targetsPerObject
-}
-
 // firstAdmitting returns the first of the targets to which the request can be sent,
 // and false if there is none among the first targetsPerObject that are neither
 // suspect nor cold and whose rate limits admit the request.
 func (s *selection) firstAdmitting(targets []*snipefleet.Target) (Candidate, bool) {
 	for _, t := range targets {
-		if s.exhausted() {
+		if s.considered == targetsPerObject {
 			break
 		}
 		if !s.query.allowsRegion(t.Place.Region) || s.query.excludes(t) {
--- a/snipeplacement/state.go
+++ b/snipeplacement/state.go
@@ -4,7 +4,6 @@
 	"math"
 	"time"
 
-	"github.com/snipemoor/snipemoor/snipefeed"
 	"github.com/snipemoor/snipemoor/snipefleet"
 	"github.com/snipemoor/snipemoor/snipetime"
 )
@@ -46,15 +45,10 @@
 	slownessUnreadable bool
 	// serviceTime is the moving average of the latency of complete responses.
 	serviceTime time.Duration
-	// failures is the number of consecutive failures.
+	// failures is the number of consecutive failures, and failedAt is the time of the
+	// last one.
 	failures int
-	// service is what is known about the service, or nil.
-	service *servicePace
-	// slots is the number of slots at the last choice.
-	slots int
-	pace  pace
-	// evacuationEnd is the end of the last evacuation that began the pace anew.
-	evacuationEnd snipetime.Instant
+	failedAt snipetime.Instant
 	// coldBucket limits the rate of requests to a cold target.
 	coldBucket tokenBucket
 	// slotInterval is the expected time between two requests that end, and
@@ -127,15 +121,7 @@
 	s.reportedAt = at
 }
 
-// recordOthersLoad records a load that the target reported at a time to another front.
-func (s *targetState) recordOthersLoad(at snipetime.Instant, l snipefeed.Load) {
-	if s.failures < suspectFailures && at.Sub(s.reportedAt) >= minReportInterval {
-		s.pace.raiseTowardLoad(at, l.Requests, s.slots, 1)
-	}
-	s.recordLoad(at, l.Requests, l.Slowness)
-}
-
-// recordResult updates the load, the service time, the failures and the pace.
+// recordResult updates the load, the service time and the failures.
 func (s *targetState) recordResult(now snipetime.Instant, r Result) {
 	s.inFlight--
 	if r.Load != nil {
@@ -147,8 +133,9 @@
 		s.serviceTime += time.Duration(serviceTimeSmoothing * float64(r.Latency-s.serviceTime))
 	case r.Unreachable:
 		s.failures += suspectFailures
+		s.failedAt = now
 	case r.Failed:
 		s.failures++
+		s.failedAt = now
 	}
-	s.updatePace(now, r)
 }
