--- a/review/reviewbed/bed.go
+++ b/review/reviewbed/bed.go
@@ -4,14 +4,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"time"
-
-	"github.com/snipemoor/snipemoor/platform/standin"
 )
 
 // Exit statuses of a case.
@@ -53,10 +52,24 @@
 	Bounds []string
 }
 
+// FreeAddresses returns n different addresses of a loopback host on which nothing listens.
+func FreeAddresses(host string, n int) ([]string, error) {
+	addresses := make([]string, n)
+	for i := range addresses {
+		l, err := net.Listen("tcp4", net.JoinHostPort(host, "0"))
+		if err != nil {
+			return nil, fmt.Errorf("listen: %w", err)
+		}
+		defer func() { _ = l.Close() }()
+		addresses[i] = l.Addr().String()
+	}
+	return addresses, nil
+}
+
 // NewFront writes the settings of a front into dir. Start starts it.
 func NewFront(dir string, s FrontSettings) (*Front, error) {
 	const numAddresses = 3
-	free, err := standin.FreeAddresses(s.Host, numAddresses)
+	free, err := FreeAddresses(s.Host, numAddresses)
 	if err != nil {
 		return nil, fmt.Errorf("choose addresses: %w", err)
 	}
